--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 JOBS ?= $(shell nproc)
 
 PACKAGES = g++ cmake ninja-build pkg-config ccache clang-format clang-tidy \
-  librestinio-dev libasio-dev libgrpc++-dev libprotobuf-dev prometheus-cpp-dev \
+  librestinio-dev libasio-dev libhttp-parser-dev libfmt-dev libgrpc++-dev libprotobuf-dev prometheus-cpp-dev \
   libtclap-dev libgoogle-glog-dev libcurl4-openssl-dev nlohmann-json3-dev \
   libcriterion-dev libxxhash-dev
 
@@ -36,7 +36,7 @@
 	@$(BUILD)/prove $(CASE)
 
 format:
-	@git ls-files 'src/*.h' 'src/*.cc' 'standin/*' 'tests/*' 'trial/*' 'bench/*' | grep -E '\.(h|cc)$$' | grep -v '\.pb\.' | xargs clang-format --dry-run --Werror
+	@git ls-files 'src/*.h' 'src/*.cc' 'platform/*' 'standin/*' 'tests/*' 'trial/*' 'bench/*' | grep -E '\.(h|cc)$$' | grep -v '\.pb\.' | xargs clang-format --dry-run --Werror
 
 lint:
 	@scripts/lint.sh $(BUILD) $(JOBS)
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -125,6 +125,8 @@
                      InMs(request.m_connect_timeout));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
                      request.m_fresh_connection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+                     request.m_close_connection ? 1L : 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Impl::OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &fetch);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Impl::OnHeader);
--- a/src/net/http_message_type.h
+++ b/src/net/http_message_type.h
@@ -27,7 +27,9 @@
   std::map<std::string, std::string> m_query;
   /// The query as received, without the question mark.
   std::string m_raw_query;
-  /// Field names in lower case.
+  /// Path and query as received.
+  std::string m_target;
+  /// Field names in lower case; values of a repeated field joined by ", ".
   std::map<std::string, std::string> m_headers;
   std::string m_body;
   uint32_t m_remote_ip = 0;
@@ -43,6 +45,8 @@
   std::string m_content_type = "application/json";
   HttpHeaders m_headers;
   std::string m_body;
+  /// The connection is closed behind the answer.
+  bool m_close = false;
 };
 
 /// Sends the answer to one request; to be called once, on the io thread.
@@ -71,6 +75,8 @@
   size_t m_most_bytes = 4U << 20U;
   /// Never send on a kept connection. See HttpClient.
   bool m_fresh_connection = false;
+  /// Close the connection behind the answer.
+  bool m_close_connection = false;
 };
 
 /// What came of it.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -16,7 +16,7 @@
 
 /// A bare number of requests on one connection that may wait; more than one,
 /// so that the server keeps reading and notices when the caller leaves.
-constexpr size_t kPipelined = 4;
+constexpr size_t kPipelined = 16;
 /// RESTinio's own limits sit above ours, so that a body a little too large
 /// still gets a clear 413 instead of a closed connection.
 constexpr size_t kBodySlack = 4;
@@ -55,8 +55,10 @@
   request.m_path = std::string(from.header().path());
   request.m_raw_query = std::string(from.header().query());
   request.m_query = ParseQuery(request.m_raw_query);
+  request.m_target = from.header().request_target();
   from.header().for_each_field([&](const auto& field) {
-    request.m_headers[ToLower(field.name())] = field.value();
+    std::string& value = request.m_headers[ToLower(field.name())];
+    value += value.empty() ? field.value() : ", " + field.value();
   });
   request.m_body = from.body();
   const auto address = from.remote_endpoint().address();
@@ -69,8 +71,13 @@
   auto builder = to->create_response(rest::http_status_line_t{
       rest::http_status_code_t{static_cast<uint16_t>(response.m_status)},
       response.m_status < 300 ? "OK" : "Refused"});
-  builder.append_header(rest::http_field::content_type,
-                        std::move(response.m_content_type));
+  if (!response.m_content_type.empty()) {
+    builder.append_header(rest::http_field::content_type,
+                          std::move(response.m_content_type));
+  }
+  if (response.m_close) {
+    builder.connection_close();
+  }
   for (auto& [name, value] : response.m_headers) {
     builder.append_header(std::move(name), std::move(value));
   }
--- /dev/null
+++ b/src/proxy/edge_settings.cc
@@ -0,0 +1,156 @@
+/// @file edge_settings.cc Reading of the JSON settings file.
+
+#include <nlohmann/json.hpp>
+
+#include "config/field_check.h"
+#include "proxy/edge_settings_type.h"
+
+namespace sorrelplank {
+
+namespace {
+
+using nlohmann::json;
+
+/// Reads fields and collects what is wrong with them.
+class Reader {
+ public:
+  Reader(const json& object, std::string file, std::string path, Faults& faults)
+      : m_object(object),
+        m_file(std::move(file)),
+        m_path(std::move(path)),
+        m_faults(faults) {}
+
+  std::string Text(const char* key) const {
+    const json* value = Find(key);
+    if (value == nullptr || !value->is_string() ||
+        value->get<std::string>().empty()) {
+      AddFault(key, value, "a text that is not empty");
+      return "";
+    }
+    return value->get<std::string>();
+  }
+
+  VmAddress Address(const char* key) const {
+    VmAddress address;
+    const json* value = Find(key);
+    const bool is_address =
+        value != nullptr && value->is_string() &&
+        ParseAddress(value->get<std::string>(), address.m_ip, address.m_port);
+    if (!is_address) {
+      AddFault(key, value, "IP:PORT");
+    }
+    return address;
+  }
+
+  double Number(const char* key, double least, double most) const {
+    const json* value = Find(key);
+    const bool is_in_range = value != nullptr && value->is_number() &&
+                             value->get<double>() >= least &&
+                             value->get<double>() <= most;
+    if (!is_in_range) {
+      AddFault(key, value,
+               "a number from " + std::to_string(least) + " to " +
+                   std::to_string(most));
+      return least;
+    }
+    return value->get<double>();
+  }
+
+  Duration Seconds(const char* key, double most) const {
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(Number(key, 0, most)));
+  }
+
+  std::map<std::string, std::string> Texts(const char* key) const {
+    std::map<std::string, std::string> texts;
+    const json* value = Find(key);
+    if (value == nullptr || !value->is_object() || value->empty()) {
+      AddFault(key, value, "an object of texts that is not empty");
+      return texts;
+    }
+    for (const auto& [name, text] : value->items()) {
+      if (text.is_string()) {
+        texts[name] = text.get<std::string>();
+      } else {
+        AddFault(key, value, "an object of texts");
+      }
+    }
+    return texts;
+  }
+
+ private:
+  const json* Find(const char* key) const {
+    const auto it = m_object.find(key);
+    return it == m_object.end() ? nullptr : &*it;
+  }
+
+  void AddFault(const char* key, const json* value, std::string allowed) const {
+    m_faults.push_back({m_file, m_path + "/" + key,
+                        value == nullptr ? "" : value->dump(),
+                        value == nullptr ? "is missing" : "is not allowed",
+                        std::move(allowed)});
+  }
+
+  const json& m_object;
+  std::string m_file;
+  std::string m_path;
+  Faults& m_faults;
+};
+
+/// Bounds on settings; wide, they only catch a wrong unit.
+constexpr double kMostSeconds = 600;
+constexpr double kMostCount = 1e6;
+
+SteeringSettings ReadSteering(const Reader& reader) {
+  return SteeringSettings{
+      .m_vm = reader.Text("vm"),
+      .m_failure_domain = reader.Text("failure_domain"),
+      .m_region = reader.Text("region"),
+      .m_regions = reader.Texts("failure_domains"),
+      .m_retry_ratio = reader.Number("retry_ratio", 0, 1),
+      .m_retry_extra = reader.Number("retry_extra", 0, kMostCount),
+      .m_retry_window = reader.Seconds("retry_window_s", kMostSeconds),
+      .m_cold_factor = reader.Number("cold_factor", 0, kMostCount),
+      .m_cold_slack = reader.Number("cold_slack", 0, kMostCount),
+      .m_most_shift = reader.Number("most_shift", 0, 1),
+  };
+}
+
+}  // namespace
+
+std::variant<EdgeSettings, Faults> ParseEdgeSettings(const std::string& text,
+                                                     const std::string& file) {
+  Faults faults;
+  const json object = ParseJson(text, file, faults);
+  if (faults.empty() && !object.is_object()) {
+    faults.push_back({file, "/", "", "is no object", "a JSON object"});
+  }
+  if (!faults.empty()) {
+    return faults;
+  }
+  const Reader reader(object, file, "", faults);
+  EdgeSettings settings{
+      .m_steering = ReadSteering(reader),
+      .m_client_address = reader.Address("client_address"),
+      .m_ready_address = reader.Address("ready_address"),
+      .m_directory_address = reader.Address("directory_address"),
+      .m_metrics_address = reader.Address("metrics_address"),
+      .m_store_address = reader.Address("store_address"),
+      .m_shortest_lease = reader.Seconds("shortest_lease_s", kMostSeconds),
+      .m_longest_ttl = reader.Seconds("longest_ttl_s", kMostSeconds),
+      .m_stop_grace = reader.Seconds("stop_grace_s", kMostSeconds),
+  };
+  const auto& domains = settings.m_steering.m_regions;
+  const auto own = domains.find(settings.m_steering.m_failure_domain);
+  if (faults.empty() && own == domains.end()) {
+    faults.push_back({file, "/failure_domain",
+                      settings.m_steering.m_failure_domain, "is not listed",
+                      "a key of /failure_domains"});
+  }
+  if (!faults.empty()) {
+    return faults;
+  }
+  return settings;
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/proxy/front.cc
@@ -0,0 +1,285 @@
+/// @file front.cc Accepting, sending and answering.
+
+#include "proxy/front.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+#include <utility>
+
+#include "proxy/decision_log.h"
+#include "proxy/proxy_metrics.h"
+#include "proxy/reply_judge_func.h"
+#include "proxy/server_connection.h"
+#include "serve/clock_func.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// An answer of a backend server is held whole before it is passed on, so that
+/// one that breaks off never looks complete.
+constexpr size_t kMostAnswerBytes = 16U << 20U;
+/// Taken where a client names no time; routes have times of their own.
+constexpr Duration kUnstatedTime = seconds(60);
+
+/// Fields that concern one connection only.
+const std::set<std::string> kConnectionFields = {"connection",
+                                                 "keep-alive",
+                                                 "proxy-authenticate",
+                                                 "proxy-authorization",
+                                                 "proxy-connection",
+                                                 "te",
+                                                 "trailer",
+                                                 "transfer-encoding",
+                                                 "upgrade",
+                                                 "content-length",
+                                                 "expect"};
+
+Duration ParseTimeLeft(const std::optional<std::string>& text) {
+  double ms = 0;
+  if (!text) {
+    return kUnstatedTime;
+  }
+  const auto [end, error] =
+      std::from_chars(text->data(), text->data() + text->size(), ms);
+  if (error != std::errc() || end != text->data() + text->size() || ms < 0 ||
+      ms > ToMilliseconds(kUnstatedTime)) {
+    return kUnstatedTime;
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+uint64_t HashOf(const std::string& text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace
+
+Front::Front(asio::io_context& io,
+             const SteeringSettings& settings,
+             ProxyNames names,
+             DecisionLog& log,
+             ProxyMetrics& metrics)
+    : m_names(std::move(names)),
+      m_log(log),
+      m_metrics(metrics),
+      m_pool(io),
+      m_steering(settings,
+                 [this](const SteerAction& action) { Take(action); }) {}
+
+void Front::AnswerMalformed(const HttpReply& reply,
+                            int status,
+                            const char* problem) {
+  m_log.Write("malformed_request",
+              {{"status", int64_t{status}}, {"problem", problem}});
+  m_metrics.CountAnswer("malformed", Duration::zero());
+  HttpResponse response;
+  response.m_status = status;
+  response.m_body = fmt::format(R"({{"error":"{}"}})", problem);
+  response.m_close = true;
+  reply(std::move(response));
+}
+
+void Front::Accept(HttpRequest request, HttpReply reply) {
+  const auto id = request.Header(m_names.m_request_id);
+  const auto host = request.Header("host");
+  if (!id || id->empty() || !host) {
+    AnswerMalformed(reply, 400, "request id and host are required");
+    return;
+  }
+  const RoutingTable* table = m_steering.Table();
+  if (table != nullptr &&
+      request.m_body.size() > table->m_limits.m_body_bytes) {
+    AnswerMalformed(reply, 413, "body too large");
+    return;
+  }
+  RequestFacts facts;
+  facts.m_request = RequestId(m_next_request++);
+  facts.m_host = *host;
+  facts.m_path = request.m_path;
+  facts.m_time_left = ParseTimeLeft(request.Header(m_names.m_deadline_ms));
+  facts.m_object = HashOf(request.Header(m_names.m_object).value_or(*id));
+  m_by_connection.emplace(request.m_connection, facts.m_request);
+  Open open;
+  open.m_id = *id;
+  open.m_request = std::move(request);
+  open.m_reply = std::move(reply);
+  open.m_arrived = SteadyNow();
+  const TimePoint now = open.m_arrived;
+  m_open.emplace(facts.m_request, std::move(open));
+  m_steering.Arrived(std::move(facts), now);
+}
+
+void Front::ClientClosed(uint64_t connection) {
+  const auto [first, last] = m_by_connection.equal_range(connection);
+  std::vector<RequestId> left;
+  for (auto it = first; it != last; ++it) {
+    left.push_back(it->second);
+  }
+  m_by_connection.erase(first, last);
+  for (const RequestId id : left) {
+    const auto it = m_open.find(id);
+    if (it == m_open.end()) {
+      continue;
+    }
+    const TimePoint now = SteadyNow();
+    m_log.Write("client_left",
+                {{"request", it->second.m_id},
+                 {"after_ms", LogMs(now - it->second.m_arrived)}});
+    m_metrics.CountAnswer("client_left", now - it->second.m_arrived);
+    m_steering.ClientLeft(id, now);
+    m_open.erase(id);
+  }
+}
+
+void Front::Tick() {
+  const TimePoint now = SteadyNow();
+  m_steering.Tick(now);
+  m_pool.CloseExpired(now);
+}
+
+void Front::Take(const SteerAction& action) {
+  std::visit([this](const auto& specific) { Run(specific); }, action);
+}
+
+std::string Front::BuildBytes(const Open& open,
+                              const SendToServer& action) const {
+  const HttpRequest& request = open.m_request;
+  std::string bytes =
+      fmt::format("{} {} HTTP/1.1\r\n", request.m_method, request.m_target);
+  for (const auto& [name, value] : request.m_headers) {
+    const bool is_ours =
+        name == m_names.m_deadline_ms || name == m_names.m_expected_instance;
+    if (!is_ours && !kConnectionFields.contains(name)) {
+      bytes += fmt::format("{}: {}\r\n", name, value);
+    }
+  }
+  bytes += fmt::format("{}: {}\r\n{}: {}\r\n", m_names.m_deadline_ms,
+                       std::max<int64_t>(1, LogMs(action.m_time_left)),
+                       m_names.m_expected_instance, action.m_instance);
+  const bool may_have_body =
+      request.m_method != "GET" && request.m_method != "HEAD";
+  if (may_have_body || !request.m_body.empty()) {
+    bytes += fmt::format("content-length: {}\r\n", request.m_body.size());
+  }
+  bytes += "\r\n";
+  bytes += request.m_body;
+  return bytes;
+}
+
+void Front::Run(const SendToServer& action) {
+  const Open& open = m_open.at(action.m_request);
+  m_log.Write("send",
+              {{"request", open.m_id},
+               {"attempt", static_cast<int64_t>(action.m_attempt.Get())},
+               {"server", action.m_instance},
+               {"object", open.m_request.Header(m_names.m_object).value_or("")},
+               {"under_way_there", action.m_occupancy},
+               {"waited_ms", LogMs(action.m_waited)},
+               {"time_left_ms", LogMs(action.m_time_left)},
+               {"config", static_cast<int64_t>(action.m_table_version)}});
+  ServerSend send;
+  send.m_bytes = BuildBytes(open, action);
+  send.m_request_id = open.m_id;
+  send.m_request_id_name = m_names.m_request_id;
+  send.m_is_head = open.m_request.m_method == "HEAD";
+  send.m_most_answer_bytes = kMostAnswerBytes;
+  m_pool.Send(action.m_attempt, action.m_instance, action.m_address,
+              action.m_idempotent, std::move(send),
+              [this, request = action.m_request,
+               attempt = action.m_attempt](ServerReply reply) {
+                SendEnded(request, attempt, std::move(reply));
+              });
+}
+
+void Front::SendEnded(RequestId request, AttemptId attempt, ServerReply reply) {
+  const AttemptReport report = JudgeReply(reply, m_names);
+  m_metrics.CountAttempt(AttemptEndName(report.m_end), report.m_latency);
+  const auto it = m_open.find(request);
+  if (it == m_open.end()) {
+    return;
+  }
+  m_log.Write("send_ended",
+              {{"request", it->second.m_id},
+               {"attempt", static_cast<int64_t>(attempt.Get())},
+               {"end", AttemptEndName(report.m_end)},
+               {"status", int64_t{reply.m_response.m_status}},
+               {"problem", reply.m_problem},
+               {"latency_ms", LogMs(report.m_latency)},
+               {"kept_connection", int64_t{reply.m_kept_connection ? 1 : 0}}});
+  it->second.m_server_answer = std::move(reply.m_response);
+  m_steering.Ended(request, attempt, report, SteadyNow());
+}
+
+void Front::Run(const CancelSend& action) {
+  m_log.Write("send_cancelled",
+              {{"request", m_open.at(action.m_request).m_id},
+               {"attempt", static_cast<int64_t>(action.m_attempt.Get())}});
+  m_pool.Cancel(action.m_attempt);
+}
+
+void Front::Run(const ForwardServerAnswer& action) {
+  HttpResponse answer = std::move(m_open.at(action.m_request).m_server_answer);
+  std::erase_if(answer.m_headers, [this](const auto& field) {
+    return kConnectionFields.contains(field.first) ||
+           field.first == m_names.m_load || field.first == m_names.m_instance ||
+           field.first == m_names.m_not_run;
+  });
+  Answer(action.m_request, std::move(answer), "forwarded");
+}
+
+void Front::Run(const RefuseRequest& action) {
+  const SteerRefusalRow& row = DescribeSteerRefusal(action.m_reason);
+  const std::string retry_after =
+      fmt::format("{:.3f}", ToMilliseconds(action.m_retry_after) / 1000);
+  const Open& open = m_open.at(action.m_request);
+  m_log.Write("refuse",
+              {{"request", open.m_id},
+               {"reason", row.m_name},
+               {"verdict", VerdictName(row.m_verdict)},
+               {"waited_ms", LogMs(action.m_waited)},
+               {"sends", int64_t{action.m_sends}},
+               {"line", static_cast<int64_t>(action.m_line.m_ahead)},
+               {"ends_per_second", action.m_line.m_ends_per_second},
+               {"usual_ms", LogMs(action.m_line.m_usual_latency)},
+               {"retry_after_s", retry_after},
+               {"config", static_cast<int64_t>(action.m_table_version)}});
+  HttpResponse response;
+  response.m_status = row.m_status;
+  response.m_headers.emplace_back(m_names.m_request_id, open.m_id);
+  if (row.m_status == 503) {
+    response.m_headers.emplace_back("Retry-After", retry_after);
+  }
+  response.m_body = fmt::format(R"({{"error":"{}"}})", row.m_name);
+  Answer(action.m_request, std::move(response), row.m_name);
+}
+
+void Front::Answer(RequestId request,
+                   HttpResponse response,
+                   const char* outcome) {
+  const auto it = m_open.find(request);
+  const Open open = std::move(it->second);
+  m_open.erase(it);
+  const auto [first, last] =
+      m_by_connection.equal_range(open.m_request.m_connection);
+  const auto entry = std::find_if(
+      first, last, [&](const auto& pair) { return pair.second == request; });
+  if (entry != last) {
+    m_by_connection.erase(entry);
+  }
+  const Duration time = SteadyNow() - open.m_arrived;
+  m_metrics.CountAnswer(outcome, time);
+  m_log.Write("answer", {{"request", open.m_id},
+                         {"outcome", outcome},
+                         {"status", int64_t{response.m_status}},
+                         {"after_ms", LogMs(time)}});
+  response.m_close |= m_is_stopping;
+  open.m_reply(std::move(response));
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/proxy/front.h
@@ -0,0 +1,80 @@
+/// @file front.h Carries clients' requests to backend servers and back.
+
+#ifndef SORRELPLANK_PROXY_FRONT_H_
+#define SORRELPLANK_PROXY_FRONT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "core/ids_type.h"
+#include "net/http_message_type.h"
+#include "proxy/proxy_names_type.h"
+#include "proxy/server_pool.h"
+#include "proxy/server_reply_type.h"
+#include "steer/steering.h"
+
+namespace sorrelplank {
+
+class DecisionLog;
+class ProxyMetrics;
+
+/// Both ends of a request's way: all between them is decided by Steering.
+class Front {
+ public:
+  Front(asio::io_context& io,
+        const SteeringSettings& settings,
+        ProxyNames names,
+        DecisionLog& log,
+        ProxyMetrics& metrics);
+
+  /// A client's request.
+  void Accept(HttpRequest request, HttpReply reply);
+  /// The client closed its connection: all its requests are given up.
+  void ClientClosed(uint64_t connection);
+  /// Time passes.
+  void Tick();
+
+  /// From now on every answer closes its connection.
+  void SetStopping() { m_is_stopping = true; }
+
+  Steering& Decisions() { return m_steering; }
+  ServerPool& Pool() { return m_pool; }
+
+ private:
+  /// A request that has no answer yet.
+  struct Open {
+    HttpRequest m_request;
+    HttpReply m_reply;
+    std::string m_id;
+    TimePoint m_arrived;
+    /// What the last send that ended brought.
+    HttpResponse m_server_answer;
+  };
+
+  void Take(const SteerAction& action);
+  void Run(const SendToServer& action);
+  void Run(const CancelSend& action);
+  void Run(const ForwardServerAnswer& action);
+  void Run(const RefuseRequest& action);
+
+  std::string BuildBytes(const Open& open, const SendToServer& action) const;
+  void SendEnded(RequestId request, AttemptId attempt, ServerReply reply);
+  void Answer(RequestId request, HttpResponse response, const char* outcome);
+  void AnswerMalformed(const HttpReply& reply, int status, const char* problem);
+
+  ProxyNames m_names;
+  DecisionLog& m_log;
+  ProxyMetrics& m_metrics;
+  ServerPool m_pool;
+  Steering m_steering;
+  uint64_t m_next_request = 1;
+  bool m_is_stopping = false;
+  std::unordered_map<RequestId, Open> m_open;
+  std::multimap<uint64_t, RequestId> m_by_connection;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_PROXY_FRONT_H_
--- /dev/null
+++ b/src/proxy/proxy_metrics.cc
@@ -0,0 +1,80 @@
+/// @file proxy_metrics.cc Families of metrics and their text.
+
+#include "proxy/proxy_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace sorrelplank {
+
+namespace {
+
+namespace prom = prometheus;
+
+const prom::Histogram::BucketBoundaries kSecondsBuckets{
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8, 1.2, 2, 4, 8};
+
+}  // namespace
+
+class ProxyMetrics::Impl {
+ public:
+  explicit Impl(const std::string& vm)
+      : m_labels{{"vm", vm}},
+        m_answers(prom::BuildHistogram()
+                      .Name("sorrelplank_answer_seconds")
+                      .Help("Time from a request's arrival to its answer")
+                      .Labels(m_labels)
+                      .Register(m_registry)),
+        m_attempts(prom::BuildHistogram()
+                       .Name("sorrelplank_attempt_seconds")
+                       .Help("Time of one send to a backend server")
+                       .Labels(m_labels)
+                       .Register(m_registry)),
+        m_gauges(prom::BuildGauge()
+                     .Name("sorrelplank_state")
+                     .Help("Present values, by name")
+                     .Labels(m_labels)
+                     .Register(m_registry)) {}
+
+  void Set(const char* name, double value) {
+    m_gauges.Add({{"name", name}}).Set(value);
+  }
+
+  prom::Registry m_registry;
+  prom::Labels m_labels;
+  prom::Family<prom::Histogram>& m_answers;
+  prom::Family<prom::Histogram>& m_attempts;
+  prom::Family<prom::Gauge>& m_gauges;
+};
+
+ProxyMetrics::ProxyMetrics(const std::string& vm)
+    : m_impl(std::make_unique<Impl>(vm)) {}
+
+ProxyMetrics::~ProxyMetrics() = default;
+
+void ProxyMetrics::CountAnswer(const std::string& outcome, Duration time) {
+  m_impl->m_answers.Add({{"outcome", outcome}}, kSecondsBuckets)
+      .Observe(ToMilliseconds(time) / 1000);
+}
+
+void ProxyMetrics::CountAttempt(const char* end, Duration time) {
+  m_impl->m_attempts.Add({{"end", end}}, kSecondsBuckets)
+      .Observe(ToMilliseconds(time) / 1000);
+}
+
+std::string ProxyMetrics::ToText(const ProxyGauges& gauges) {
+  m_impl->Set("running", gauges.m_running);
+  m_impl->Set("waiting", gauges.m_waiting);
+  m_impl->Set("servers", gauges.m_servers);
+  m_impl->Set("table_version", gauges.m_table_version);
+  m_impl->Set("store_age_seconds", gauges.m_store_age_s);
+  m_impl->Set("connections_opened", gauges.m_connections_opened);
+  m_impl->Set("log_lines_dropped", gauges.m_log_lines_dropped);
+  m_impl->Set("store_calls", gauges.m_store_calls);
+  return prom::TextSerializer().Serialize(m_impl->m_registry.Collect());
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/proxy/proxy_metrics.h
@@ -0,0 +1,46 @@
+/// @file proxy_metrics.h Counters and histograms of the routed path.
+
+#ifndef SORRELPLANK_PROXY_PROXY_METRICS_H_
+#define SORRELPLANK_PROXY_PROXY_METRICS_H_
+
+#include <memory>
+#include <string>
+
+#include "core/time_type.h"
+
+namespace sorrelplank {
+
+/// Gauges that are read when the metrics are asked for.
+struct ProxyGauges {
+  double m_running = 0;
+  double m_waiting = 0;
+  double m_servers = 0;
+  double m_table_version = 0;
+  double m_store_age_s = 0;
+  double m_connections_opened = 0;
+  double m_log_lines_dropped = 0;
+  double m_store_calls = 0;
+};
+
+/// What is counted, by prometheus-cpp.
+class ProxyMetrics {
+ public:
+  explicit ProxyMetrics(const std::string& vm);
+  ~ProxyMetrics();
+
+  /// A request was answered; outcome: "forwarded" or a refusal's name.
+  void CountAnswer(const std::string& outcome, Duration time);
+  /// A send ended.
+  void CountAttempt(const char* end, Duration time);
+
+  /// The text that is served.
+  std::string ToText(const ProxyGauges& gauges);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_PROXY_PROXY_METRICS_H_
--- /dev/null
+++ b/src/proxy/reply_judge.cc
@@ -0,0 +1,80 @@
+/// @file reply_judge.cc Only a server's own word proves "not run".
+
+#include <algorithm>
+#include <charconv>
+
+#include "proxy/proxy_names_type.h"
+#include "proxy/reply_judge_func.h"
+#include "proxy/server_reply_type.h"
+
+namespace sorrelplank {
+
+namespace {
+
+constexpr int kMisdirected = 421;
+
+const std::string* Find(const HttpHeaders& headers, const std::string& name) {
+  const auto it =
+      std::find_if(headers.begin(), headers.end(),
+                   [&](const auto& field) { return field.first == name; });
+  return it == headers.end() ? nullptr : &it->second;
+}
+
+AttemptEnd JudgeAnswer(const HttpResponse& answer, const ProxyNames& names) {
+  if (answer.m_status == kMisdirected) {
+    return AttemptEnd::kWrongInstance;
+  }
+  if (Find(answer.m_headers, names.m_not_run) != nullptr) {
+    return AttemptEnd::kRejected;
+  }
+  if (Find(answer.m_headers, names.m_stamp) == nullptr &&
+      answer.m_status < 300) {
+    // A success that no server vouches for is nobody's answer.
+    return AttemptEnd::kLost;
+  }
+  return answer.m_status >= 500 ? AttemptEnd::kServerError
+                                : AttemptEnd::kAnswered;
+}
+
+}  // namespace
+
+AttemptReport JudgeReply(const ServerReply& reply, const ProxyNames& names) {
+  AttemptReport report;
+  report.m_latency = reply.m_latency;
+  switch (reply.m_end) {
+    case ReplyEnd::kNotSent:
+      report.m_end = AttemptEnd::kNotSent;
+      return report;
+    case ReplyEnd::kLost:
+      report.m_end = AttemptEnd::kLost;
+      return report;
+    case ReplyEnd::kWhole:
+      break;
+  }
+  report.m_end = JudgeAnswer(reply.m_response, names);
+  const std::string* load = Find(reply.m_response.m_headers, names.m_load);
+  if (load != nullptr) {
+    report.m_load = ParseLoad(*load);
+  }
+  return report;
+}
+
+std::optional<ReportedLoad> ParseLoad(const std::string& text) {
+  ReportedLoad load;
+  const char* at = text.data();
+  const char* const end = at + text.size();
+  uint32_t* const fields[] = {&load.m_running, &load.m_waiting, &load.m_slots};
+  for (size_t field = 0; field < std::size(fields); ++field) {
+    if (field > 0 && (at == end || *at++ != ',')) {
+      return std::nullopt;
+    }
+    const auto [next, error] = std::from_chars(at, end, *fields[field]);
+    if (error != std::errc()) {
+      return std::nullopt;
+    }
+    at = next;
+  }
+  return at == end ? std::optional(load) : std::nullopt;
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/attempt_report_type.h
@@ -0,0 +1,49 @@
+/// @file attempt_report_type.h How one send to a backend server ended.
+
+#ifndef SORRELPLANK_STEER_ATTEMPT_REPORT_TYPE_H_
+#define SORRELPLANK_STEER_ATTEMPT_REPORT_TYPE_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "core/time_type.h"
+
+namespace sorrelplank {
+
+/// The kinds of end. They decide what a client may be told.
+enum class AttemptEnd : uint8_t {
+  kAnswered,       ///< A whole answer of the server's own.
+  kServerError,    ///< A whole answer of the server's own with a 5xx status.
+  kRejected,       ///< The server says that it did not run the request.
+  kWrongInstance,  ///< Another server has the address; it did not run it.
+  kNotSent,        ///< Not one byte left this process.
+  kLost,           ///< Sent, and no whole answer came; it may have run.
+};
+
+/// Whether the end proves that the request did not run.
+inline bool ProvesNotRun(AttemptEnd end) {
+  return end == AttemptEnd::kRejected || end == AttemptEnd::kWrongInstance ||
+         end == AttemptEnd::kNotSent;
+}
+
+/// The name in logs and metrics.
+const char* AttemptEndName(AttemptEnd end);
+
+/// A server's word on its own load.
+struct ReportedLoad {
+  uint32_t m_running = 0;
+  uint32_t m_waiting = 0;
+  uint32_t m_slots = 0;
+};
+
+/// End of a send with what was learned from it.
+struct AttemptReport {
+  AttemptEnd m_end = AttemptEnd::kLost;
+  std::optional<ReportedLoad> m_load;
+  /// From the first byte sent to the last one received.
+  Duration m_latency{};
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_ATTEMPT_REPORT_TYPE_H_
--- /dev/null
+++ b/src/steer/even_dealer.cc
@@ -0,0 +1,31 @@
+/// @file even_dealer.cc Smooth weighted round robin.
+
+#include "steer/even_dealer.h"
+
+#include <numeric>
+
+#include "core/invariant_func.h"
+
+namespace sorrelplank {
+
+size_t EvenDealer::Next(const std::vector<double>& weights) {
+  m_credit.resize(weights.size(), 0);
+  const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
+  Invariant(total > 0, "a deal needs a part with weight");
+  size_t best = weights.size();
+  for (size_t part = 0; part < weights.size(); ++part) {
+    if (weights[part] <= 0) {
+      // Credit from times with weight would come back as a burst.
+      m_credit[part] = 0;
+      continue;
+    }
+    m_credit[part] += weights[part] / total;
+    if (best == weights.size() || m_credit[part] > m_credit[best]) {
+      best = part;
+    }
+  }
+  m_credit[best] -= 1;
+  return best;
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/fleet_member_type.h
@@ -0,0 +1,21 @@
+/// @file fleet_member_type.h An entry VM as its own store entry describes it.
+
+#ifndef SORRELPLANK_STEER_FLEET_MEMBER_TYPE_H_
+#define SORRELPLANK_STEER_FLEET_MEMBER_TYPE_H_
+
+#include <string>
+
+namespace sorrelplank {
+
+/// One entry VM.
+struct FleetMember {
+  std::string m_vm;
+  /// Where clients connect, "IP:PORT".
+  std::string m_client_address;
+  std::string m_failure_domain;
+  std::string m_region;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_FLEET_MEMBER_TYPE_H_
--- /dev/null
+++ b/src/steer/region_shares.cc
@@ -0,0 +1,122 @@
+/// @file region_shares.cc The slow split over regions.
+
+#include "steer/region_shares.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sorrelplank {
+
+namespace {
+
+/// Requests per slot of the own region above which objects are sent elsewhere.
+/// Queues grow steeply above it.
+constexpr double kHigh = 0.75;
+/// Below this they come back; the gap keeps the split from swinging.
+constexpr double kLow = 0.4;
+/// A region that takes more must be less loaded than ours by this much.
+constexpr double kGap = 0.2;
+
+/// Weight of a slot in a region without a share, small beside any share.
+constexpr double kNoShare = 1e-9;
+
+/// A number in 0..1, the same in every process.
+double UnitHash(uint64_t object, size_t region) {
+  const uint64_t parts[] = {object, region};
+  const uint64_t hash = XXH3_64bits(parts, sizeof(parts));
+  return (static_cast<double>(hash >> 11U) + 1) / 9007199254740993.0;
+}
+
+}  // namespace
+
+RegionShares::RegionShares(size_t regions, size_t own)
+    : m_own(own), m_shares(regions, 0), m_loads(regions) {
+  m_shares[own] = 1;
+}
+
+void RegionShares::Update(const std::vector<RegionLoad>& loads,
+                          double most_shift_per_second,
+                          TimePoint now) {
+  const Duration since = std::min<Duration>(now - m_updated, seconds(1));
+  m_updated = now;
+  m_loads = loads;
+  if (!m_has_begun) {
+    Begin();
+    return;
+  }
+  const double step = most_shift_per_second * ToMilliseconds(since) / 1000;
+  const double own = loads[m_own].m_utilisation;
+  size_t best = m_own;
+  for (size_t region = 0; region < m_shares.size(); ++region) {
+    if (region == m_own) {
+      continue;
+    }
+    const RegionLoad& load = loads[region];
+    if (own < kLow || own + kGap < load.m_utilisation) {
+      MoveBetween(region, m_own, step);
+    }
+    const bool is_better =
+        best == m_own || load.m_utilisation < loads[best].m_utilisation;
+    if (load.m_slots > 0 && load.m_utilisation + kGap < own && is_better) {
+      best = region;
+    }
+  }
+  if (own > kHigh) {
+    MoveBetween(m_own, best, step);
+  }
+}
+
+void RegionShares::Begin() {
+  double total = 0;
+  for (const RegionLoad& load : m_loads) {
+    total += load.m_slots;
+  }
+  if (total <= 0) {
+    return;
+  }
+  m_has_begun = true;
+  const double mean = total / static_cast<double>(m_loads.size());
+  const double missing = std::max(0.0, mean - m_loads[m_own].m_slots);
+  double surplus = 0;
+  for (const RegionLoad& load : m_loads) {
+    surplus += std::max(0.0, load.m_slots - mean);
+  }
+  if (missing <= 0 || surplus <= 0) {
+    return;
+  }
+  for (size_t region = 0; region < m_shares.size(); ++region) {
+    const double spare = std::max(0.0, m_loads[region].m_slots - mean);
+    MoveBetween(m_own, region, missing / mean * spare / surplus);
+  }
+}
+
+void RegionShares::MoveBetween(size_t from, size_t to, double part) {
+  const double moved = std::min(part, m_shares[from]);
+  m_shares[from] -= moved;
+  m_shares[to] += moved;
+}
+
+size_t RegionShares::RegionOf(uint64_t object, Mask allowed) const {
+  size_t best = m_shares.size();
+  double best_score = 0;
+  for (size_t region = 0; region < m_shares.size(); ++region) {
+    const bool is_allowed = ((allowed >> region) & 1U) != 0;
+    if (!is_allowed || m_loads[region].m_slots <= 0) {
+      continue;
+    }
+    // A region without a share is only taken where no other one is left.
+    const double weight = m_shares[region] > 0
+                              ? m_shares[region]
+                              : kNoShare * m_loads[region].m_slots;
+    const double score = -weight / std::log(UnitHash(object, region));
+    if (best == m_shares.size() || score > best_score) {
+      best = region;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/region_shares.h
@@ -0,0 +1,62 @@
+/// @file region_shares.h Which region runs the requests of a service.
+
+#ifndef SORRELPLANK_STEER_REGION_SHARES_H_
+#define SORRELPLANK_STEER_REGION_SHARES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "core/time_type.h"
+
+namespace sorrelplank {
+
+/// Load of a service in one region, as this entry VM knows it.
+struct RegionLoad {
+  /// Slots of the backend servers that may be sent to.
+  double m_slots = 0;
+  /// Requests under way and waiting per slot.
+  double m_utilisation = 0;
+};
+
+/// Splits a service's objects over regions and moves the split slowly.
+///
+/// Load pattern: the callers of one region outgrow its slots while another
+/// region has room. Sending each request that finds no slot elsewhere would
+/// move a large part of a region's requests at once, and spread every object
+/// over servers that are not warm for it. Here whole objects move, by highest
+/// random weight over the regions' shares, and the shares move at a bounded
+/// rate; only the loss of all servers of a region moves everything at once.
+class RegionShares {
+ public:
+  /// Bit r set: region r may run the request.
+  using Mask = uint32_t;
+
+  RegionShares(size_t regions, size_t own);
+
+  /// Moves the split towards where there is room. The first call with servers
+  /// sets it so that regions with the same demand would be loaded the same.
+  void Update(const std::vector<RegionLoad>& loads,
+              double most_shift_per_second,
+              TimePoint now);
+
+  /// The region of an object; the number of regions where none of the allowed
+  /// ones has a server.
+  size_t RegionOf(uint64_t object, Mask allowed) const;
+
+  double Share(size_t region) const { return m_shares[region]; }
+
+ private:
+  void MoveBetween(size_t from, size_t to, double part);
+  void Begin();
+
+  size_t m_own;
+  std::vector<double> m_shares;
+  std::vector<RegionLoad> m_loads;
+  TimePoint m_updated{};
+  bool m_has_begun = false;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_REGION_SHARES_H_
--- /dev/null
+++ b/src/steer/server_picker.cc
@@ -0,0 +1,178 @@
+/// @file server_picker.cc Placement by object, cold servers.
+
+#include "steer/server_picker.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+#include "steer/routing_table_type.h"
+#include "steer/server_track.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Two entry VMs may take themselves for the sender while their views of the
+/// fleet differ; so each stays under half of the bound.
+constexpr double kColdPart = 0.5;
+/// Servers that an object may go to while all are sound. More would find a free
+/// slot sooner and be cold for the object more often.
+constexpr size_t kChoicesOfObject = 2;
+/// Work on an object for which a server is not warm, in usual latencies; by the
+/// deployments' measure of warm work.
+constexpr double kNotWarmFactor = 3.3;
+/// A VM that has just joined sees others late; until then it may take itself
+/// for the only one. Longer than the store's slowest watch.
+constexpr Duration kMemberBeforeCold = seconds(2);
+
+uint64_t Weight(uint64_t seed, const std::string& name) {
+  return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
+
+uint64_t NameWeight(const std::string& a, const std::string& b) {
+  return Weight(Weight(0, a), b);
+}
+
+bool WasTried(const PickNeed& need, const std::string& instance) {
+  return need.m_tried != nullptr &&
+         std::find(need.m_tried->begin(), need.m_tried->end(), instance) !=
+             need.m_tried->end();
+}
+
+}  // namespace
+
+ServerPicker::ServerPicker(const SteeringSettings& settings)
+    : m_settings(settings) {}
+
+void ServerPicker::SetFleet(std::vector<FleetMember> fleet, TimePoint now) {
+  m_fleet = std::move(fleet);
+  const bool is_member = std::any_of(m_fleet.begin(), m_fleet.end(),
+                                     [this](const FleetMember& member) {
+                                       return member.m_vm == m_settings.m_vm;
+                                     });
+  if (!is_member) {
+    m_member_since = TimePoint::max();
+  } else if (m_member_since == TimePoint::max()) {
+    m_member_since = now;
+  }
+}
+
+void ServerPicker::SetEvacuated(std::set<std::string> domains) {
+  m_evacuated = std::move(domains);
+}
+
+bool ServerPicker::IsEvacuated(const std::string& domain) const {
+  return m_evacuated.contains(domain);
+}
+
+bool ServerPicker::IsUsable(const ServerTrack& server,
+                            const UsualService& usual,
+                            TimePoint now) const {
+  const ServerEntry& entry = server.Entry();
+  return !entry.m_leaving && !IsEvacuated(entry.m_failure_domain) &&
+         !server.IsResting(now, usual);
+}
+
+ServerPicker::Ranked ServerPicker::Rank(
+    const std::vector<ServerTrack*>& servers,
+    const PickNeed& need,
+    TimePoint now) const {
+  using Place = std::tuple<double, uint64_t, ServerTrack*>;
+  std::vector<Place> places;
+  places.reserve(servers.size());
+  for (ServerTrack* server : servers) {
+    const ServerEntry& entry = server->Entry();
+    if (!IsUsable(*server, need.m_usual, now) ||
+        WasTried(need, entry.m_instance)) {
+      continue;
+    }
+    const double load = need.m_keeps_objects_together
+                            ? 0
+                            : server->Occupancy(now) / entry.m_slots;
+    places.emplace_back(load, ~Weight(need.m_object, entry.m_instance), server);
+  }
+  std::sort(places.begin(), places.end());
+  Ranked ranked;
+  ranked.reserve(places.size());
+  for (const Place& place : places) {
+    ranked.push_back(std::get<ServerTrack*>(place));
+  }
+  return ranked;
+}
+
+Choice ServerPicker::Pick(const std::vector<ServerTrack*>& servers,
+                          const ServiceRules& rules,
+                          const PickNeed& need,
+                          TimePoint now) const {
+  const Ranked ranked = Rank(servers, need, now);
+  const size_t choices =
+      need.m_keeps_objects_together ? kChoicesOfObject : ranked.size();
+  Choice best;
+  double first_time = 0;
+  double free_time = 0;
+  size_t considered = 0;
+  for (ServerTrack* server : ranked) {
+    const bool may_send =
+        !server->IsCold(now) || (IsColdSender(*server, now) &&
+                                 server->HasColdRoom(ColdLimit(rules), now));
+    if (!may_send) {
+      continue;
+    }
+    if (considered++ == choices) {
+      break;
+    }
+    const double limit = server->OccupancyLimit(now, need.m_usual);
+    const double surplus =
+        server->Occupancy(now) + server->Waiting() + 1 - limit;
+    const double wait = std::max(0.0, surplus) / std::max(1.0, limit);
+    const bool is_warm =
+        !need.m_keeps_objects_together || server->IsWarmFor(need.m_object, now);
+    const double time = wait + (is_warm ? 1 : kNotWarmFactor);
+    if (best.m_first == nullptr || time < first_time) {
+      best.m_first = server;
+      first_time = time;
+    }
+    const bool has_room = server->Occupancy(now) + 1 <= limit;
+    if (has_room && (best.m_free == nullptr || time < free_time)) {
+      best.m_free = server;
+      free_time = time;
+    }
+  }
+  return best;
+}
+
+uint32_t ServerPicker::ColdLimit(const ServiceRules& rules) const {
+  const double bound = rules.m_cold_per_second * m_settings.m_cold_factor +
+                       m_settings.m_cold_slack;
+  return static_cast<uint32_t>(std::floor(bound * kColdPart));
+}
+
+bool ServerPicker::IsColdSender(const ServerTrack& server,
+                                TimePoint now) const {
+  if (m_member_since == TimePoint::max() ||
+      now - m_member_since < kMemberBeforeCold) {
+    return false;
+  }
+  const ServerEntry& entry = server.Entry();
+  const auto region = m_settings.m_regions.find(entry.m_failure_domain);
+  using Rank = std::tuple<bool, bool, uint64_t>;
+  const FleetMember* best = nullptr;
+  Rank best_rank;
+  for (const FleetMember& member : m_fleet) {
+    const bool is_region = region != m_settings.m_regions.end() &&
+                           member.m_region == region->second;
+    const Rank rank(member.m_failure_domain != entry.m_failure_domain,
+                    !is_region, NameWeight(entry.m_instance, member.m_vm));
+    if (best == nullptr || rank < best_rank) {
+      best = &member;
+      best_rank = rank;
+    }
+  }
+  return best != nullptr && best->m_vm == m_settings.m_vm;
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/server_picker.h
@@ -0,0 +1,88 @@
+/// @file server_picker.h Picks the backend server of a request in one region.
+
+#ifndef SORRELPLANK_STEER_SERVER_PICKER_H_
+#define SORRELPLANK_STEER_SERVER_PICKER_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/time_type.h"
+#include "steer/fleet_member_type.h"
+#include "steer/steering_settings_type.h"
+#include "steer/usual_service_type.h"
+
+namespace sorrelplank {
+
+class ServerTrack;
+struct ServiceRules;
+
+/// What matters of a request for the pick.
+struct PickNeed {
+  /// Hash of the object that the request is about.
+  uint64_t m_object = 0;
+  bool m_keeps_objects_together = false;
+  /// Instances that the request was sent to before.
+  const std::vector<std::string>* m_tried = nullptr;
+  UsualService m_usual;
+};
+
+/// Servers for a request; nullptr where there is none.
+struct Choice {
+  /// Expected to answer first; it may have no free slot.
+  ServerTrack* m_first = nullptr;
+  /// Expected to answer first among those that have a free slot.
+  ServerTrack* m_free = nullptr;
+};
+
+/// Picks among the servers of one service and region.
+///
+/// Load pattern: servers work 3.3 times as fast on objects that they handled
+/// lately, and remember only some. Each object therefore has a fixed order of
+/// servers, by highest random weight; a server that joins or leaves moves only
+/// its own objects. Of the first servers of that order, the request goes to the
+/// one expected to answer first: a short wait for a warm server beats a free
+/// slot at one that is not warm.
+class ServerPicker {
+ public:
+  explicit ServerPicker(const SteeringSettings& settings);
+
+  void SetFleet(std::vector<FleetMember> fleet, TimePoint now);
+  void SetEvacuated(std::set<std::string> domains);
+
+  const std::vector<FleetMember>& Fleet() const { return m_fleet; }
+  bool IsEvacuated(const std::string& domain) const;
+
+  /// Whether requests may be sent to the server at all.
+  bool IsUsable(const ServerTrack& server,
+                const UsualService& usual,
+                TimePoint now) const;
+
+  Choice Pick(const std::vector<ServerTrack*>& servers,
+              const ServiceRules& rules,
+              const PickNeed& need,
+              TimePoint now) const;
+
+  /// Requests to a cold server that this VM may send in any second.
+  uint32_t ColdLimit(const ServiceRules& rules) const;
+
+ private:
+  using Ranked = std::vector<ServerTrack*>;
+  /// Usable servers in the order of choice.
+  Ranked Rank(const std::vector<ServerTrack*>& servers,
+              const PickNeed& need,
+              TimePoint now) const;
+
+  /// Whether this VM is the one that sends to a cold server.
+  bool IsColdSender(const ServerTrack& server, TimePoint now) const;
+
+  const SteeringSettings& m_settings;
+  std::vector<FleetMember> m_fleet;
+  TimePoint m_member_since = TimePoint::max();
+  std::set<std::string> m_evacuated;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_SERVER_PICKER_H_
--- /dev/null
+++ b/src/steer/server_track.cc
@@ -0,0 +1,197 @@
+/// @file server_track.cc Learning from the ends of requests.
+
+#include "steer/server_track.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sorrelplank {
+
+namespace {
+
+/// Weight of the newest sample in moving averages; five samples to notice.
+constexpr double kSampleWeight = 0.2;
+/// A report of others' load counts less and less until this age: some times
+/// the longest work on a warm object, after which nothing of it is left.
+constexpr Duration kReportLife = milliseconds(2000);
+/// Consecutive failures after which a server rests.
+constexpr uint32_t kFailuresToRest = 2;
+/// First rest; it doubles with each further failure up to the longest.
+constexpr Duration kFirstRest = milliseconds(400);
+constexpr Duration kLongestRest = seconds(4);
+/// After a rejection the server is taken as full for about the time in which
+/// one of its slots comes free.
+constexpr Duration kFullPause = milliseconds(60);
+/// Slower than usual by this factor: degraded. Objects that are not warm
+/// alone take 3.3 times as long.
+constexpr double kSlowFactor = 5;
+/// Part of sends rejected or failed from which on a server is degraded.
+constexpr double kBadPart = 0.3;
+/// No answer at all for this long, and for this many usual latencies, while
+/// requests are under way: stalled.
+constexpr Duration kStalled = milliseconds(1500);
+constexpr int kStalledFactor = 6;
+/// A server is taken as warm for an object for this long after a request.
+/// Servers forget by number of objects, which nobody tells us; the time is that
+/// in which a busy server meets more objects than it remembers.
+constexpr Duration kWarmTime = seconds(15);
+/// Objects remembered for one server; 16 KB of memory.
+constexpr size_t kMostObjects = 512;
+/// A cold server's own time is uncertain by the age of its entry.
+constexpr Duration kColdMargin = milliseconds(500);
+
+void Blend(double& average, double sample) {
+  average += (sample - average) * kSampleWeight;
+}
+
+}  // namespace
+
+const char* AttemptEndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kServerError:
+      return "server_error";
+    case AttemptEnd::kRejected:
+      return "rejected";
+    case AttemptEnd::kWrongInstance:
+      return "wrong_instance";
+    case AttemptEnd::kNotSent:
+      return "not_sent";
+    case AttemptEnd::kLost:
+      return "lost";
+  }
+  return "";
+}
+
+ServerTrack::ServerTrack(ServerEntry entry, TimePoint now)
+    : m_entry(std::move(entry)) {
+  MarkCold(m_entry.m_cold_left, now);
+}
+
+void ServerTrack::Update(ServerEntry entry, TimePoint now) {
+  m_entry = std::move(entry);
+  MarkCold(m_entry.m_cold_left, now);
+}
+
+void ServerTrack::MarkCold(Duration time, TimePoint now) {
+  if (time > Duration::zero()) {
+    m_cold_until = std::max(m_cold_until, now + time + kColdMargin);
+  }
+}
+
+void ServerTrack::CountSend(TimePoint now) {
+  if (m_own == 0) {
+    m_last_end = now;
+  }
+  ++m_own;
+}
+
+void ServerTrack::CountEnd(const AttemptReport& report, TimePoint now) {
+  --m_own;
+  m_last_end = now;
+  if (report.m_load) {
+    const double total = report.m_load->m_running + report.m_load->m_waiting;
+    m_others = std::max(0.0, total - m_own);
+    m_reported = now;
+  }
+  if (report.m_end == AttemptEnd::kRejected) {
+    CountRejection(report, now);
+    return;
+  }
+  Blend(m_rejections, 0);
+  if (report.m_end != AttemptEnd::kAnswered) {
+    CountFailure(now);
+    return;
+  }
+  m_failures_in_row = 0;
+  Blend(m_failures, 0);
+  m_latency.Add(report.m_latency);
+}
+
+void ServerTrack::CountRejection(const AttemptReport& report, TimePoint now) {
+  const bool has_free_slot =
+      report.m_load && report.m_load->m_running < report.m_load->m_slots;
+  if (!has_free_slot) {
+    m_full_until = now + kFullPause;
+    return;
+  }
+  // Not for want of slots: a part of its sends, whatever its load. Pausing
+  // would leave its slots idle.
+  Blend(m_rejections, 1);
+}
+
+void ServerTrack::CountFailure(TimePoint now) {
+  Blend(m_failures, 1);
+  ++m_failures_in_row;
+  if (m_failures_in_row < kFailuresToRest) {
+    return;
+  }
+  const uint32_t doublings = std::min(m_failures_in_row - kFailuresToRest, 4U);
+  m_rests_until = now + std::min(kFirstRest * (1U << doublings), kLongestRest);
+}
+
+double ServerTrack::Occupancy(TimePoint now) const {
+  const Duration age = now - m_reported;
+  if (age >= kReportLife) {
+    return m_own;
+  }
+  const double freshness =
+      1 - ToMilliseconds(age) / ToMilliseconds(kReportLife);
+  return m_own + m_others * freshness;
+}
+
+double ServerTrack::OccupancyLimit(TimePoint now,
+                                   const UsualService& usual) const {
+  if (now < m_full_until) {
+    return 0;
+  }
+  if (IsDegraded(usual)) {
+    return std::max(1.0, m_entry.m_slots / 4.0);
+  }
+  return m_entry.m_slots;
+}
+
+bool ServerTrack::IsResting(TimePoint now, const UsualService& usual) const {
+  if (m_gone || now < m_rests_until) {
+    return true;
+  }
+  // A server that lost power answers nothing and resets nothing: without this
+  // it would be sent requests until the first of them reach their deadline.
+  return m_own > 0 && now - m_last_end >
+                          std::max(kStalled, kStalledFactor * usual.m_latency);
+}
+
+bool ServerTrack::IsDegraded(const UsualService& usual) const {
+  if (m_rejections > kBadPart + 2 * usual.m_rejections ||
+      m_failures > kBadPart) {
+    return true;
+  }
+  return usual.m_latency > Duration::zero() &&
+         ToMilliseconds(m_latency.Get()) >
+             kSlowFactor * ToMilliseconds(usual.m_latency);
+}
+
+bool ServerTrack::IsWarmFor(uint64_t object, TimePoint now) const {
+  const auto it = m_objects.find(object);
+  return it != m_objects.end() && now - it->second < kWarmTime;
+}
+
+void ServerTrack::MarkWarmFor(uint64_t object, TimePoint now) {
+  if (m_objects.size() >= kMostObjects) {
+    std::erase_if(m_objects, [now](const auto& entry) {
+      return now - entry.second >= kWarmTime / 4;
+    });
+  }
+  m_objects[object] = now;
+}
+
+bool ServerTrack::TryTakeCold(uint32_t most_per_second, TimePoint now) {
+  return m_cold_sends.TryTake(most_per_second, now);
+}
+
+bool ServerTrack::HasColdRoom(uint32_t most_per_second, TimePoint now) {
+  return m_cold_sends.Count(now) < most_per_second;
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/server_track.h
@@ -0,0 +1,87 @@
+/// @file server_track.h What this entry VM knows of one backend server.
+
+#ifndef SORRELPLANK_STEER_SERVER_TRACK_H_
+#define SORRELPLANK_STEER_SERVER_TRACK_H_
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "core/rate_window.h"
+#include "steer/attempt_report_type.h"
+#include "steer/quantile_track.h"
+#include "steer/server_entry_type.h"
+#include "steer/usual_service_type.h"
+
+namespace sorrelplank {
+
+/// Load and health of a backend server, learned from requests alone: probes
+/// cost the server work, and their answers may be wrong.
+class ServerTrack {
+ public:
+  explicit ServerTrack(ServerEntry entry, TimePoint now);
+
+  const ServerEntry& Entry() const { return m_entry; }
+  /// Takes a newer entry of the same instance.
+  void Update(ServerEntry entry, TimePoint now);
+
+  void CountSend(TimePoint now);
+  void CountEnd(const AttemptReport& report, TimePoint now);
+  void CountCancel() { --m_own; }
+
+  /// Requests under way: our own, and those of others by its last report.
+  double Occupancy(TimePoint now) const;
+  /// Requests that it should have under way at the most.
+  double OccupancyLimit(TimePoint now, const UsualService& usual) const;
+  /// Whether it fails, or answers nothing at all, so that it should be given no
+  /// requests now.
+  bool IsResting(TimePoint now, const UsualService& usual) const;
+  /// Another instance answers at its address: this one is gone.
+  void MarkGone() { m_gone = true; }
+  bool IsGone() const { return m_gone; }
+  /// Whether it is much slower than usual, or rejects a large part.
+  bool IsDegraded(const UsualService& usual) const;
+
+  bool IsCold(TimePoint now) const { return now < m_cold_until; }
+  /// From now on it counts as cold for at least the given time.
+  void MarkCold(Duration time, TimePoint now);
+  /// Counts one request to a cold server if the limit allows it.
+  bool TryTakeCold(uint32_t most_per_second, TimePoint now);
+  /// Requests that a cold server may still be sent in this second.
+  bool HasColdRoom(uint32_t most_per_second, TimePoint now);
+
+  uint32_t InFlight() const { return m_own; }
+  /// Whether this VM sent a request on the object here lately.
+  bool IsWarmFor(uint64_t object, TimePoint now) const;
+  void MarkWarmFor(uint64_t object, TimePoint now);
+
+  /// Requests that wait here for a slot of this server.
+  uint32_t Waiting() const { return m_waiting; }
+  void AddWaiting() { ++m_waiting; }
+  void RemoveWaiting() { --m_waiting; }
+
+ private:
+  void CountFailure(TimePoint now);
+  void CountRejection(const AttemptReport& report, TimePoint now);
+
+  ServerEntry m_entry;
+  uint32_t m_own = 0;
+  uint32_t m_waiting = 0;
+  double m_others = 0;
+  TimePoint m_reported{};
+  QuantileTrack m_latency{0.5};
+  /// Moving averages in 0..1.
+  double m_failures = 0;
+  double m_rejections = 0;
+  uint32_t m_failures_in_row = 0;
+  TimePoint m_rests_until{};
+  TimePoint m_full_until{};
+  TimePoint m_cold_until{};
+  TimePoint m_last_end{};
+  bool m_gone = false;
+  RateWindow m_cold_sends;
+  std::unordered_map<uint64_t, TimePoint> m_objects;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_SERVER_TRACK_H_
--- /dev/null
+++ b/src/steer/steer_action_type.h
@@ -0,0 +1,62 @@
+/// @file steer_action_type.h What the steering decisions ask to be done.
+
+#ifndef SORRELPLANK_STEER_STEER_ACTION_TYPE_H_
+#define SORRELPLANK_STEER_STEER_ACTION_TYPE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "core/ids_type.h"
+#include "core/time_type.h"
+#include "core/vm_record_type.h"
+#include "steer/admission.h"
+#include "steer/steer_refusal_type.h"
+
+namespace sorrelplank {
+
+/// Send a request to a backend server.
+struct SendToServer {
+  RequestId m_request;
+  AttemptId m_attempt;
+  std::string m_instance;
+  VmAddress m_address;
+  Duration m_time_left{};
+  bool m_idempotent = false;
+  /// What decided, for logs: requests under way there, time since arrival, and
+  /// the table's version.
+  double m_occupancy = 0;
+  Duration m_waited{};
+  uint64_t m_table_version = 0;
+};
+
+/// Give a send up: its connection is closed, which ends the work.
+struct CancelSend {
+  RequestId m_request;
+  AttemptId m_attempt;
+};
+
+/// Hand the answer that a send brought to the client.
+struct ForwardServerAnswer {
+  RequestId m_request;
+  AttemptId m_attempt;
+};
+
+/// Answer without a backend server's answer.
+struct RefuseRequest {
+  RequestId m_request;
+  SteerRefusal m_reason = SteerRefusal::kNotReady;
+  Duration m_retry_after{};
+  /// What decided, for logs.
+  LineState m_line;
+  Duration m_waited{};
+  uint64_t m_table_version = 0;
+  uint32_t m_sends = 0;
+};
+
+using SteerAction =
+    std::variant<SendToServer, CancelSend, ForwardServerAnswer, RefuseRequest>;
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_STEER_ACTION_TYPE_H_
--- /dev/null
+++ b/src/steer/steered_request_type.h
@@ -0,0 +1,64 @@
+/// @file steered_request_type.h A request as the decisions see it.
+
+#ifndef SORRELPLANK_STEER_STEERED_REQUEST_TYPE_H_
+#define SORRELPLANK_STEER_STEERED_REQUEST_TYPE_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/ids_type.h"
+#include "core/time_type.h"
+#include "steer/region_shares.h"
+
+namespace sorrelplank {
+
+struct RouteRule;
+struct RoutingTable;
+class ServerTrack;
+
+/// What a client asks for.
+struct RequestFacts {
+  RequestId m_request;
+  std::string m_host;
+  std::string m_path;
+  /// Hash of the object that the request is about; of the request itself where
+  /// it names none.
+  uint64_t m_object = 0;
+  /// How long the client waits.
+  Duration m_time_left{};
+};
+
+/// One send of a request that has not ended.
+struct LiveAttempt {
+  AttemptId m_attempt;
+  std::shared_ptr<ServerTrack> m_server;
+  TimePoint m_sent;
+};
+
+/// A request under way.
+struct SteeredRequest {
+  RequestFacts m_facts;
+  /// Keeps the route alive.
+  std::shared_ptr<const RoutingTable> m_table;
+  const RouteRule* m_route = nullptr;
+  std::string m_service;
+  RegionShares::Mask m_allowed_regions = 0;
+  TimePoint m_arrived;
+  /// The answer is due by then.
+  TimePoint m_finish_by;
+  std::vector<LiveAttempt> m_live;
+  std::vector<std::string> m_tried;
+  bool m_waits = false;
+  /// Whose slot it waits for first of all.
+  std::shared_ptr<ServerTrack> m_waits_for;
+  /// The retry budget was charged for the next send.
+  bool m_resend_paid = false;
+  /// A send ended without proof that the request did not run.
+  bool m_may_have_run = false;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_STEERED_REQUEST_TYPE_H_
--- /dev/null
+++ b/src/steer/steered_service.cc
@@ -0,0 +1,101 @@
+/// @file steered_service.cc Rates and loads of a service.
+
+#include "steer/steered_service.h"
+
+#include <algorithm>
+
+#include "steer/server_picker.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Sends after which a change of the part that is rejected shows.
+constexpr double kRejectionSamples = 20;
+/// Answers that the mean goes over.
+constexpr int kMeanSamples = 20;
+/// Milliseconds; keeps the first answers from promising too much.
+constexpr double kLeastUsual = 50;
+/// Part of a server's ends that is expected where none of ours are under way.
+constexpr double kLeastPart = 0.3;
+
+}  // namespace
+
+SteeredService::SteeredService(size_t regions,
+                               size_t own,
+                               Duration retry_window)
+    : m_own(own),
+      m_by_region(regions),
+      m_shares(regions, own),
+      m_retries(retry_window) {}
+
+void SteeredService::AddServer(const std::shared_ptr<ServerTrack>& server,
+                               size_t region) {
+  m_servers[server->Entry().m_instance] = server;
+  m_by_region[region].push_back(server.get());
+}
+
+void SteeredService::RemoveServer(const std::string& instance) {
+  const auto it = m_servers.find(instance);
+  if (it == m_servers.end()) {
+    return;
+  }
+  for (auto& servers : m_by_region) {
+    std::erase(servers, it->second.get());
+  }
+  m_servers.erase(it);
+}
+
+void SteeredService::CountEnd(const AttemptReport& report) {
+  const bool has_free_slot =
+      report.m_load && report.m_load->m_running < report.m_load->m_slots;
+  const bool is_rejected =
+      report.m_end == AttemptEnd::kRejected && has_free_slot;
+  m_rejections += ((is_rejected ? 1 : 0) - m_rejections) / kRejectionSamples;
+  if (report.m_end == AttemptEnd::kAnswered) {
+    m_latency.Add(report.m_latency);
+    m_mean_latency =
+        m_mean_latency == Duration::zero()
+            ? report.m_latency
+            : m_mean_latency +
+                  (report.m_latency - m_mean_latency) / kMeanSamples;
+  }
+}
+
+LineState SteeredService::Line(const ServerTrack* server, TimePoint now) const {
+  LineState line;
+  line.m_usual_latency = m_mean_latency;
+  if (server == nullptr) {
+    return line;
+  }
+  line.m_ahead = server->Waiting();
+  const double usual_s =
+      std::max(kLeastUsual, ToMilliseconds(m_mean_latency)) / 1000;
+  // Slots that come free go to whoever sends first: to us by our part.
+  const double occupancy = std::max(1.0, server->Occupancy(now));
+  const double part = std::max(kLeastPart, server->InFlight() / occupancy);
+  line.m_ends_per_second = server->Entry().m_slots * part / usual_s;
+  return line;
+}
+
+void SteeredService::UpdateShares(const ServerPicker& picker,
+                                  double most_shift_per_second,
+                                  TimePoint now) {
+  std::vector<RegionLoad> loads(m_by_region.size());
+  for (size_t region = 0; region < loads.size(); ++region) {
+    double under_way = 0;
+    for (const ServerTrack* server : m_by_region[region]) {
+      if (!picker.IsUsable(*server, Usual(), now)) {
+        continue;
+      }
+      loads[region].m_slots += server->Entry().m_slots;
+      under_way += server->Occupancy(now) + server->Waiting();
+    }
+    if (loads[region].m_slots > 0) {
+      loads[region].m_utilisation = under_way / loads[region].m_slots;
+    }
+  }
+  m_shares.Update(loads, most_shift_per_second, now);
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/steered_service.h
@@ -0,0 +1,68 @@
+/// @file steered_service.h State of one service at this entry VM.
+
+#ifndef SORRELPLANK_STEER_STEERED_SERVICE_H_
+#define SORRELPLANK_STEER_STEERED_SERVICE_H_
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/ids_type.h"
+#include "core/time_type.h"
+#include "steer/admission.h"
+#include "steer/region_shares.h"
+#include "steer/retry_allowance.h"
+#include "steer/server_track.h"
+
+namespace sorrelplank {
+
+class ServerPicker;
+
+/// Servers, waiting requests and rates of one service.
+class SteeredService {
+ public:
+  /// Regions are numbered by the caller; own is this VM's.
+  SteeredService(size_t regions, size_t own, Duration retry_window);
+
+  void AddServer(const std::shared_ptr<ServerTrack>& server, size_t region);
+  void RemoveServer(const std::string& instance);
+  const std::vector<ServerTrack*>& ServersOf(size_t region) const {
+    return m_by_region[region];
+  }
+
+  /// Notes the end of a send.
+  void CountEnd(const AttemptReport& report);
+  UsualService Usual() const { return {m_latency.Get(), m_rejections}; }
+  /// The line at a server; at none where it is nullptr.
+  LineState Line(const ServerTrack* server, TimePoint now) const;
+
+  /// Measures the load of each region and moves the split.
+  void UpdateShares(const ServerPicker& picker,
+                    double most_shift_per_second,
+                    TimePoint now);
+
+  RegionShares& Shares() { return m_shares; }
+  RetryAllowance& Retries() { return m_retries; }
+  /// Waiting requests in the order in which they are served.
+  std::list<RequestId>& Waiting() { return m_waiting; }
+
+ private:
+  size_t m_own;
+  std::vector<std::vector<ServerTrack*>> m_by_region;
+  std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
+  RegionShares m_shares;
+  RetryAllowance m_retries;
+  std::list<RequestId> m_waiting;
+  QuantileTrack m_latency{0.5};
+  /// Mean; beside the median it counts requests on objects that are not warm,
+  /// which a waiting request may turn out to be.
+  Duration m_mean_latency{};
+  double m_rejections = 0;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_STEERED_SERVICE_H_
--- /dev/null
+++ b/src/steer/steering.h
@@ -0,0 +1,116 @@
+/// @file steering.h Decides where requests go, wait, and how they end.
+
+#ifndef SORRELPLANK_STEER_STEERING_H_
+#define SORRELPLANK_STEER_STEERING_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "steer/attempt_report_type.h"
+#include "steer/even_dealer.h"
+#include "steer/route_index.h"
+#include "steer/routing_table_type.h"
+#include "steer/server_picker.h"
+#include "steer/steer_action_type.h"
+#include "steer/steered_request_type.h"
+#include "steer/steered_service.h"
+#include "steer/steering_settings_type.h"
+
+namespace sorrelplank {
+
+/// The decisions of one entry VM: no sockets, no clock. Events and the time go
+/// in, actions come out of the sink. The sink must not call back into this.
+class Steering {
+ public:
+  using Sink = std::function<void(const SteerAction&)>;
+
+  Steering(SteeringSettings settings, Sink sink);
+
+  // What is known. Each takes effect for waiting requests too.
+  void Install(std::shared_ptr<const RoutingTable> table, TimePoint now);
+  void PutServer(const ServerEntry& entry, TimePoint now);
+  void RemoveServer(const std::string& instance, TimePoint now);
+  void SetEvacuated(const std::set<std::string>& domains, TimePoint now);
+  void SetFleet(std::vector<FleetMember> fleet, TimePoint now);
+
+  /// Replaces limits; the own place stays.
+  void SetLimits(const SteeringSettings& settings);
+
+  /// Regions that may take requests of a host: those that are homes of all its
+  /// routes with homes; empty: all.
+  std::vector<std::string> HomeRegionsOf(const std::string& host) const;
+
+  // Requests.
+  void Arrived(RequestFacts facts, TimePoint now);
+  void Ended(RequestId request,
+             AttemptId attempt,
+             const AttemptReport& report,
+             TimePoint now);
+  void ClientLeft(RequestId request, TimePoint now);
+  /// Deadlines, waiting requests and second sends; to be called often.
+  void Tick(TimePoint now);
+
+  const RoutingTable* Table() const { return m_table.get(); }
+  size_t Running() const { return m_requests.size(); }
+  size_t ServerCount() const { return m_servers.size(); }
+  size_t WaitingCount() const;
+  const ServerPicker& Picker() const { return m_picker; }
+  const SteeringSettings& Settings() const { return m_settings; }
+
+ private:
+  using RequestMap = std::unordered_map<RequestId, SteeredRequest>;
+
+  SteeredService& Service(const std::string& name);
+  size_t RegionOf(const std::string& failure_domain) const;
+  RegionShares::Mask MaskOf(const RouteRule& route) const;
+  const ServiceRules& RulesOf(const std::string& service) const;
+
+  /// Sets route and service by the table in force; false without a route.
+  bool Route(SteeredRequest& request);
+  Choice Choose(const SteeredRequest& request, TimePoint now);
+  /// Servers of the request's region, and what it needs of them.
+  const std::vector<ServerTrack*>* Candidates(const SteeredRequest& request,
+                                              PickNeed& need);
+  /// Sends if the limits allow it; spends from the retry budget for a second
+  /// send.
+  bool TrySend(SteeredRequest& request, ServerTrack* server, TimePoint now);
+  bool MaySendAgain(SteeredRequest& request, TimePoint now);
+  void Send(SteeredRequest& request, ServerTrack* server, TimePoint now);
+  void Wait(SteeredRequest& request, ServerTrack* server);
+  void StopWaiting(SteeredRequest& request);
+  void Place(SteeredRequest& request, TimePoint now);
+  /// A send ended without an answer to forward.
+  void Recover(SteeredRequest& request,
+               AttemptId attempt,
+               AttemptEnd end,
+               TimePoint now);
+  void ServeWaiting(SteeredService& service, TimePoint now);
+  void CheckTime(SteeredRequest& request, TimePoint now);
+  void SendSecondCopy(SteeredRequest& request, TimePoint now);
+  void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
+  void CancelLive(SteeredRequest& request, bool counts_as_lost, TimePoint now);
+  void Forget(RequestId id);
+
+  SteeringSettings m_settings;
+  Sink m_sink;
+  std::vector<std::string> m_regions;
+  size_t m_own_region = 0;
+  ServerPicker m_picker;
+  std::shared_ptr<const RoutingTable> m_table;
+  std::unique_ptr<RouteIndex> m_index;
+  std::map<std::string, EvenDealer> m_splits;
+  std::map<std::string, std::unique_ptr<SteeredService>> m_services;
+  std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
+  RequestMap m_requests;
+  uint64_t m_next_attempt = 1;
+  TimePoint m_shares_updated{};
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_STEERING_H_
--- /dev/null
+++ b/src/steer/steering_requests.cc
@@ -0,0 +1,278 @@
+/// @file steering_requests.cc The way of one request: send, wait, end.
+
+#include <algorithm>
+#include <utility>
+
+#include "steer/steering.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Waiting requests that are looked at in a row without one finding a server;
+/// then the service is taken as full.
+constexpr int kMostMisses = 8;
+/// A second copy goes out once a send takes this many usual latencies.
+constexpr int kSecondCopyFactor = 4;
+/// When to come back while nothing is known of the service: a start takes
+/// about this long to read the store.
+constexpr Duration kUnknownRetryAfter = milliseconds(300);
+
+}  // namespace
+
+void Steering::Place(SteeredRequest& request, TimePoint now) {
+  const Choice choice = Choose(request, now);
+  if (choice.m_first == nullptr) {
+    Refuse(request, SteerRefusal::kNoServer, now);
+    return;
+  }
+  // Those who wait for the same server would have been sent if it had room.
+  if (choice.m_first == choice.m_free &&
+      TrySend(request, choice.m_first, now)) {
+    return;
+  }
+  WaitNeed need;
+  need.m_until_target =
+      request.m_arrived - now + request.m_route->m_target_latency;
+  need.m_until_end = request.m_finish_by - now;
+  const LineState line = Service(request.m_service).Line(choice.m_first, now);
+  if (MayWait(line, need)) {
+    Wait(request, choice.m_first);
+    return;
+  }
+  if (TrySend(request, choice.m_free, now)) {
+    return;
+  }
+  Refuse(request, SteerRefusal::kOverloaded, now);
+}
+
+void Steering::Wait(SteeredRequest& request, ServerTrack* server) {
+  auto& line = Service(request.m_service).Waiting();
+  request.m_waits = true;
+  request.m_waits_for = m_servers.at(server->Entry().m_instance);
+  request.m_waits_for->AddWaiting();
+  const auto later = std::find_if(line.begin(), line.end(), [&](RequestId id) {
+    return m_requests.at(id).m_route->m_priority > request.m_route->m_priority;
+  });
+  line.insert(later, request.m_facts.m_request);
+}
+
+void Steering::StopWaiting(SteeredRequest& request) {
+  request.m_waits = false;
+  request.m_waits_for->RemoveWaiting();
+  request.m_waits_for.reset();
+}
+
+bool Steering::MaySendAgain(SteeredRequest& request, TimePoint now) {
+  if (request.m_resend_paid) {
+    return true;
+  }
+  if (request.m_tried.size() >= request.m_route->m_most_sends) {
+    return false;
+  }
+  if (request.m_may_have_run && !request.m_route->m_idempotent) {
+    return false;
+  }
+  const double vms =
+      std::max<double>(1, static_cast<double>(m_picker.Fleet().size()));
+  request.m_resend_paid = Service(request.m_service)
+                              .Retries()
+                              .TrySpend(m_settings.m_retry_ratio,
+                                        m_settings.m_retry_extra / vms, now);
+  return request.m_resend_paid;
+}
+
+bool Steering::TrySend(SteeredRequest& request,
+                       ServerTrack* server,
+                       TimePoint now) {
+  if (server == nullptr) {
+    return false;
+  }
+  if (!request.m_tried.empty() && !MaySendAgain(request, now)) {
+    return false;
+  }
+  const uint32_t cold_limit = m_picker.ColdLimit(RulesOf(request.m_service));
+  if (server->IsCold(now) && !server->TryTakeCold(cold_limit, now)) {
+    return false;
+  }
+  Send(request, server, now);
+  return true;
+}
+
+void Steering::Send(SteeredRequest& request,
+                    ServerTrack* server,
+                    TimePoint now) {
+  const AttemptId attempt(m_next_attempt++);
+  const ServerEntry& entry = server->Entry();
+  server->CountSend(now);
+  server->MarkWarmFor(request.m_facts.m_object, now);
+  request.m_resend_paid = false;
+  request.m_live.push_back({attempt, m_servers.at(entry.m_instance), now});
+  request.m_tried.push_back(entry.m_instance);
+  m_sink(SendToServer{request.m_facts.m_request, attempt, entry.m_instance,
+                      entry.m_address, request.m_finish_by - now,
+                      request.m_route->m_idempotent, server->Occupancy(now),
+                      now - request.m_arrived, request.m_table->m_version});
+}
+
+void Steering::Ended(RequestId id,
+                     AttemptId attempt,
+                     const AttemptReport& report,
+                     TimePoint now) {
+  const auto it = m_requests.find(id);
+  if (it == m_requests.end()) {
+    return;
+  }
+  SteeredRequest& request = it->second;
+  const auto live = std::find_if(
+      request.m_live.begin(), request.m_live.end(),
+      [&](const LiveAttempt& one) { return one.m_attempt == attempt; });
+  if (live == request.m_live.end()) {
+    return;
+  }
+  live->m_server->CountEnd(report, now);
+  if (report.m_end == AttemptEnd::kWrongInstance) {
+    live->m_server->MarkGone();
+  }
+  request.m_live.erase(live);
+  SteeredService& service = Service(request.m_service);
+  service.CountEnd(report);
+  if (report.m_end == AttemptEnd::kAnswered) {
+    CancelLive(request, false, now);
+    m_sink(ForwardServerAnswer{id, attempt});
+    Forget(id);
+  } else {
+    request.m_may_have_run |= !ProvesNotRun(report.m_end);
+    Recover(request, attempt, report.m_end, now);
+  }
+  ServeWaiting(service, now);
+}
+
+void Steering::Recover(SteeredRequest& request,
+                       AttemptId attempt,
+                       AttemptEnd end,
+                       TimePoint now) {
+  if (!request.m_live.empty()) {
+    return;
+  }
+  if (MaySendAgain(request, now)) {
+    Place(request, now);
+    return;
+  }
+  if (end == AttemptEnd::kServerError) {
+    m_sink(ForwardServerAnswer{request.m_facts.m_request, attempt});
+    Forget(request.m_facts.m_request);
+    return;
+  }
+  Refuse(request, SteerRefusal::kRetriesSpent, now);
+}
+
+void Steering::ServeWaiting(SteeredService& service, TimePoint now) {
+  auto& line = service.Waiting();
+  int misses = 0;
+  for (auto it = line.begin(); it != line.end() && misses < kMostMisses;) {
+    SteeredRequest& request = m_requests.at(*it);
+    const Choice choice = Choose(request, now);
+    const bool may_send = choice.m_first == choice.m_free;
+    if (!may_send || !TrySend(request, choice.m_free, now)) {
+      ++misses;
+      ++it;
+      continue;
+    }
+    StopWaiting(request);
+    it = line.erase(it);
+  }
+}
+
+void Steering::ClientLeft(RequestId id, TimePoint now) {
+  const auto it = m_requests.find(id);
+  if (it == m_requests.end()) {
+    return;
+  }
+  CancelLive(it->second, false, now);
+  Forget(id);
+}
+
+void Steering::CheckTime(SteeredRequest& request, TimePoint now) {
+  if (now >= request.m_finish_by) {
+    const bool runs = !request.m_live.empty();
+    CancelLive(request, true, now);
+    Refuse(request, runs ? SteerRefusal::kTimedOut : SteerRefusal::kTooLate,
+           now);
+    return;
+  }
+  if (request.m_waits) {
+    const Duration usual = Service(request.m_service).Usual().m_latency;
+    if (now + usual / 2 > request.m_finish_by) {
+      Refuse(request, SteerRefusal::kTooLate, now);
+    }
+    return;
+  }
+  SendSecondCopy(request, now);
+}
+
+void Steering::SendSecondCopy(SteeredRequest& request, TimePoint now) {
+  if (!request.m_route->m_idempotent || request.m_live.size() != 1) {
+    return;
+  }
+  const Duration usual = Service(request.m_service).Usual().m_latency;
+  const Duration patience =
+      std::max(kSecondCopyFactor * usual, request.m_route->m_target_latency);
+  if (usual == Duration::zero() ||
+      now - request.m_live.front().m_sent < patience) {
+    return;
+  }
+  TrySend(request, Choose(request, now).m_free, now);
+}
+
+void Steering::Refuse(SteeredRequest& request,
+                      SteerRefusal reason,
+                      TimePoint now) {
+  RefuseRequest refusal;
+  refusal.m_request = request.m_facts.m_request;
+  refusal.m_retry_after = kUnknownRetryAfter;
+  refusal.m_waited = now - request.m_arrived;
+  refusal.m_table_version = m_table ? m_table->m_version : 0;
+  refusal.m_sends = static_cast<uint32_t>(request.m_tried.size());
+  if (request.m_route != nullptr) {
+    SteeredService& service = Service(request.m_service);
+    refusal.m_line = service.Line(Choose(request, now).m_first, now);
+    refusal.m_retry_after =
+        ComeBackAfter(refusal.m_line, refusal.m_request.Get());
+  }
+  const bool promises_not_run =
+      DescribeSteerRefusal(reason).m_verdict == Verdict::kNotRun;
+  if (request.m_may_have_run && promises_not_run) {
+    reason = SteerRefusal::kLost;
+  }
+  refusal.m_reason = reason;
+  m_sink(refusal);
+  Forget(refusal.m_request);
+}
+
+void Steering::CancelLive(SteeredRequest& request,
+                          bool counts_as_lost,
+                          TimePoint now) {
+  for (const LiveAttempt& live : request.m_live) {
+    if (counts_as_lost) {
+      AttemptReport report;
+      report.m_end = AttemptEnd::kLost;
+      live.m_server->CountEnd(report, now);
+    } else {
+      live.m_server->CountCancel();
+    }
+    m_sink(CancelSend{request.m_facts.m_request, live.m_attempt});
+  }
+  request.m_live.clear();
+}
+
+void Steering::Forget(RequestId id) {
+  const auto it = m_requests.find(id);
+  if (it->second.m_waits) {
+    Service(it->second.m_service).Waiting().remove(id);
+    StopWaiting(it->second);
+  }
+  m_requests.erase(it);
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/steering_settings_type.h
@@ -0,0 +1,35 @@
+/// @file steering_settings_type.h What one entry VM's decisions are bound by.
+
+#ifndef SORRELPLANK_STEER_STEERING_SETTINGS_TYPE_H_
+#define SORRELPLANK_STEER_STEERING_SETTINGS_TYPE_H_
+
+#include <map>
+#include <string>
+
+#include "core/time_type.h"
+
+namespace sorrelplank {
+
+/// Own place, and limits that hold over all entry VMs together.
+struct SteeringSettings {
+  std::string m_vm;
+  std::string m_failure_domain;
+  std::string m_region;
+  /// Region of each failure domain.
+  std::map<std::string, std::string> m_regions;
+  /// Second sends allowed per request of a service, over the window.
+  double m_retry_ratio = 0;
+  /// Second sends allowed per window beside the ratio.
+  double m_retry_extra = 0;
+  Duration m_retry_window = seconds(10);
+  /// A cold server's bound in any second: its own rate x factor + slack.
+  double m_cold_factor = 1;
+  double m_cold_slack = 0;
+  /// Largest part of a region's requests that may change the region they run
+  /// in between two adjacent windows of 2 s.
+  double m_most_shift = 0.15;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_STEERING_SETTINGS_TYPE_H_
