--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -42,8 +42,8 @@
   const Duration since = std::min<Duration>(now - m_updated, seconds(1));
   m_updated = now;
   m_loads = loads;
-  if (!m_has_begun) {
-    Begin();
+  if (!m_has_started) {
+    SetByCapacity();
     return;
   }
   const double step = most_shift_per_second * ToMilliseconds(since) / 1000;
@@ -68,7 +68,9 @@
   }
 }
 
-void RegionShares::Begin() {
+void RegionShares::SetByCapacity() {
+  std::fill(m_shares.begin(), m_shares.end(), 0);
+  m_shares[m_own] = 1;
   double total = 0;
   for (const RegionLoad& load : m_loads) {
     total += load.m_slots;
@@ -76,7 +78,6 @@
   if (total <= 0) {
     return;
   }
-  m_has_begun = true;
   const double mean = total / static_cast<double>(m_loads.size());
   const double missing = std::max(0.0, mean - m_loads[m_own].m_slots);
   double surplus = 0;
--- a/src/steer/region_shares.h
+++ b/src/steer/region_shares.h
@@ -34,12 +34,15 @@
 
   RegionShares(size_t regions, size_t own);
 
-  /// Moves the split towards where there is room. The first call with servers
-  /// sets it so that regions with the same demand would be loaded the same.
+  /// Moves the split towards where there is room. Until Start it is set so that
+  /// regions with the same demand would be loaded the same.
   void Update(const std::vector<RegionLoad>& loads,
               double most_shift_per_second,
               TimePoint now);
 
+  /// Requests come from now on: the split moves slowly.
+  void Start() { m_has_started = true; }
+
   /// The region of an object; the number of regions where none of the allowed
   /// ones has a server.
   size_t RegionOf(uint64_t object, Mask allowed) const;
@@ -48,13 +51,13 @@
 
  private:
   void MoveBetween(size_t from, size_t to, double part);
-  void Begin();
+  void SetByCapacity();
 
   size_t m_own;
   std::vector<double> m_shares;
   std::vector<RegionLoad> m_loads;
   TimePoint m_updated{};
-  bool m_has_begun = false;
+  bool m_has_started = false;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -69,31 +69,31 @@
   return m_evacuated.contains(domain);
 }
 
-bool ServerPicker::IsUsable(const ServerTrack& server,
-                            const UsualService& usual,
-                            TimePoint now) const {
+bool ServerPicker::IsUsable(const ServerTrack& server) const {
   const ServerEntry& entry = server.Entry();
-  return !entry.m_leaving && !IsEvacuated(entry.m_failure_domain) &&
-         !server.IsResting(now, usual);
+  return !entry.m_leaving && !server.IsGone() &&
+         !IsEvacuated(entry.m_failure_domain);
 }
 
 ServerPicker::Ranked ServerPicker::Rank(
     const std::vector<ServerTrack*>& servers,
     const PickNeed& need,
     TimePoint now) const {
-  using Place = std::tuple<double, uint64_t, ServerTrack*>;
+  using Place = std::tuple<bool, double, uint64_t, ServerTrack*>;
   std::vector<Place> places;
   places.reserve(servers.size());
   for (ServerTrack* server : servers) {
     const ServerEntry& entry = server->Entry();
-    if (!IsUsable(*server, need.m_usual, now) ||
-        WasTried(need, entry.m_instance)) {
+    if (!IsUsable(*server) || WasTried(need, entry.m_instance)) {
       continue;
     }
     const double load = need.m_keeps_objects_together
                             ? 0
                             : server->Occupancy(now) / entry.m_slots;
-    places.emplace_back(load, ~Weight(need.m_object, entry.m_instance), server);
+    // Resting servers come last instead of dropping out: where all rest, the
+    // cause is likely not theirs, and refusing everything would be worse.
+    places.emplace_back(server->IsResting(now, need.m_usual), load,
+                        ~Weight(need.m_object, entry.m_instance), server);
   }
   std::sort(places.begin(), places.end());
   Ranked ranked;
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -55,9 +55,7 @@
   bool IsEvacuated(const std::string& domain) const;
 
   /// Whether requests may be sent to the server at all.
-  bool IsUsable(const ServerTrack& server,
-                const UsualService& usual,
-                TimePoint now) const;
+  bool IsUsable(const ServerTrack& server) const;
 
   Choice Pick(const std::vector<ServerTrack*>& servers,
               const ServiceRules& rules,
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -153,7 +153,7 @@
 }
 
 bool ServerTrack::IsResting(TimePoint now, const UsualService& usual) const {
-  if (m_gone || now < m_rests_until) {
+  if (now < m_rests_until) {
     return true;
   }
   // A server that lost power answers nothing and resets nothing: without this
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -85,7 +85,7 @@
   for (size_t region = 0; region < loads.size(); ++region) {
     double under_way = 0;
     for (const ServerTrack* server : m_by_region[region]) {
-      if (!picker.IsUsable(*server, Usual(), now)) {
+      if (!picker.IsUsable(*server)) {
         continue;
       }
       loads[region].m_slots += server->Entry().m_slots;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -238,7 +238,9 @@
   const Duration time =
       std::min(request.m_facts.m_time_left, request.m_route->m_timeout);
   request.m_finish_by = now + time;
-  Service(request.m_service).Retries().CountRequest(now);
+  SteeredService& service = Service(request.m_service);
+  service.Retries().CountRequest(now);
+  service.Shares().Start();
   Place(request, now);
 }
 
--- /dev/null
+++ b/tests/platform_decode_test.cc
@@ -0,0 +1,144 @@
+/// @file platform_decode_test.cc The platform's values as our types.
+
+#include <criterion/criterion.h>
+
+#include "platform/decode_func.h"
+#include "platform/store_client.h"
+
+namespace sorrelplank::platform {
+namespace {
+
+TestSuite(PlatformDecode);
+
+constexpr const char* kConfig = R"({"Version":"r7",
+ "Routes":{"Columns":["Name","Host","Prefix","Kind","TimeoutS","TargetLatencyS",
+   "Priority","Backends","MaxAttempts","SessionAffinity","HomeRegions",
+   "Service","Unknown"],
+  "Rows":[["a","h1","/x/","idempotent",2.5,0.4,2,
+    [{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],
+    2,true,["north"],null,17],
+   ["b","h2","/y/","non_idempotent",3,0.4,1,null,2,true,[],"s3",null]]},
+ "Services":{"Columns":["Name","HealthPath","MaxConns","ColdStartS","ColdPerS"],
+  "Rows":[["s1","/health",330,3.0,7.1]]},
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1000,"IdleTimeoutS":15},
+ "BaseVersion":"r5"})";
+
+Test(PlatformDecode, Config_ColumnsAndRows_BecomeRoutes) {
+  const RoutingTable table = DecodeConfig(kConfig);
+  cr_assert_eq(table.m_version, 7);
+  cr_assert_eq(table.m_routes.size(), 2);
+  const RouteRule& split = table.m_routes[0];
+  cr_assert(split.m_idempotent);
+  cr_assert_eq(split.m_timeout.count(), 2500000);
+  cr_assert_eq(split.m_shares.size(), 2);
+  cr_assert_float_eq(split.m_shares[0].m_weight, 90, 1e-9);
+  cr_assert_str_eq(split.m_home_regions[0].c_str(), "north");
+  const RouteRule& plain = table.m_routes[1];
+  cr_assert_not(plain.m_idempotent);
+  cr_assert_str_eq(plain.m_shares[0].m_service.c_str(), "s3");
+  cr_assert_float_eq(table.m_services.at("s1").m_cold_per_second, 7.1, 1e-9);
+  cr_assert_eq(table.m_limits.m_body_bytes, 1000);
+}
+
+/// A text that is no configuration.
+struct BadConfig {
+  const char* m_what;
+  const char* m_text;
+};
+
+constexpr BadConfig kBadConfigs[] = {
+    {"empty", ""},
+    {"cut short", R"({"Version":"r7","Routes":{"Columns")"},
+    {"no version", R"({"Routes":{"Columns":[],"Rows":[]}})"},
+    {"version without tag",
+     R"({"Version":"7","Routes":{"Columns":[],"Rows":[]}})"},
+    {"version with a rest",
+     R"({"Version":"r7x","Routes":{"Columns":[],"Rows":[]}})"},
+    {"rows of another type", R"({"Version":"r7","Routes":{"Columns":["Name"],
+      "Rows":[[5]]},"Services":{"Columns":[],"Rows":[]}})"},
+    {"a list", "[]"}};
+
+Test(PlatformDecode, Config_Damaged_IsAnError) {
+  for (const BadConfig& bad : kBadConfigs) {
+    bool is_refused = false;
+    try {
+      DecodeConfig(bad.m_text);
+    } catch (const DecodeError&) {
+      is_refused = true;
+    }
+    cr_assert(is_refused, "%s", bad.m_what);
+  }
+}
+
+Test(PlatformDecode, Server_Entry_BecomesServer) {
+  const ServerEntry server = DecodeServer(
+      "i-1", R"({"Service":"s1","Address":"10.128.0.9:8080","Zone":"d1",
+                 "Version":"v1","Slots":5,"State":"draining",
+                 "ColdLeftS":1.5,"Sequence":4})");
+  cr_assert_str_eq(server.m_instance.c_str(), "i-1");
+  cr_assert_eq(server.m_slots, 5);
+  cr_assert(server.m_leaving);
+  cr_assert_eq(server.m_cold_left.count(), 1500000);
+  cr_assert_eq(server.m_address.m_port, 8080);
+}
+
+Test(PlatformDecode, Member_EncodedAndDecoded_IsTheSame) {
+  const FleetMember member{"vm-1", "10.0.0.1:80", "d1", "r1"};
+  const FleetMember same = DecodeMember(EncodeMember(member));
+  cr_assert_str_eq(same.m_client_address.c_str(), "10.0.0.1:80");
+  cr_assert_str_eq(same.m_region.c_str(), "r1");
+}
+
+/// A store's answer and what it proves.
+struct StoreCase {
+  FetchEnd m_fetch;
+  int m_status;
+  StoreEnd m_end;
+};
+
+constexpr StoreCase kStoreCases[] = {
+    {FetchEnd::kAnswered, 200, StoreEnd::kDone},
+    {FetchEnd::kAnswered, 404, StoreEnd::kMissing},
+    {FetchEnd::kAnswered, 410, StoreEnd::kHistoryGone},
+    {FetchEnd::kAnswered, 412, StoreEnd::kConflict},
+    {FetchEnd::kAnswered, 429, StoreEnd::kRefused},
+    {FetchEnd::kAnswered, 503, StoreEnd::kRefused},
+    {FetchEnd::kAnswered, 500, StoreEnd::kUnknown},
+    {FetchEnd::kConnectFailed, 0, StoreEnd::kRefused},
+    {FetchEnd::kNoAnswer, 0, StoreEnd::kUnknown},
+    {FetchEnd::kTimedOut, 0, StoreEnd::kUnknown},
+    {FetchEnd::kTruncated, 200, StoreEnd::kUnknown}};
+
+Test(PlatformDecode, StoreAnswer_EachEnd_ProvesWhatItProves) {
+  for (const StoreCase& one : kStoreCases) {
+    HttpResult result;
+    result.m_end = one.m_fetch;
+    result.m_response.m_status = one.m_status;
+    cr_assert_eq(JudgeStoreAnswer(result), one.m_end, "status %d",
+                 one.m_status);
+  }
+}
+
+Test(PlatformDecode, StoreRead_ItemsAndRemovals_AreDecoded) {
+  HttpResult result;
+  result.m_end = FetchEnd::kAnswered;
+  result.m_response.m_body =
+      R"({"events":[{"Key":"a","Value":"bm9kZS0x","Rev":412,"Created":412,
+          "Lease":77120},{"Key":"b","Rev":413,"Deleted":true}],
+          "StoreRevision":413})";
+  const StoreRead read = DecodeRead(result, "events");
+  cr_assert_eq(read.m_items.size(), 2);
+  cr_assert_str_eq(read.m_items[0].m_value.c_str(), "node-1");
+  cr_assert(read.m_items[1].m_removed);
+  cr_assert_eq(read.m_revision.Get(), 413);
+}
+
+Test(PlatformDecode, StoreRead_DamagedBody_CountsAsNoAnswer) {
+  HttpResult result;
+  result.m_end = FetchEnd::kAnswered;
+  result.m_response.m_body = R"({"events":[{"Key":"a"}],"StoreRevision":4})";
+  cr_assert_eq(DecodeRead(result, "events").m_end, StoreEnd::kUnknown);
+}
+
+}  // namespace
+}  // namespace sorrelplank::platform
--- /dev/null
+++ b/tests/region_shares_test.cc
@@ -0,0 +1,117 @@
+/// @file region_shares_test.cc The split of a service over regions.
+
+#include "steer/region_shares.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+namespace sorrelplank {
+namespace {
+
+constexpr size_t kRegions = 3;
+constexpr size_t kOwn = 0;
+constexpr RegionShares::Mask kAll = 0b111;
+/// A third of the 0.15 that may move between two windows of 2 s.
+constexpr double kPerSecond = 0.05;
+constexpr uint64_t kObjects = 2000;
+
+/// The own region has a sixth of the slots, the last one a half.
+std::vector<RegionLoad> Loads(double own, double second, double third) {
+  return {{10, own}, {20, second}, {30, third}};
+}
+
+/// A split that has begun to serve.
+struct SharesFixture {
+  RegionShares m_shares{kRegions, kOwn};
+  TimePoint m_now{seconds(10)};
+
+  SharesFixture() {
+    m_shares.Update(Loads(0, 0, 0), kPerSecond, m_now);
+    m_shares.Start();
+  }
+
+  std::vector<size_t> RegionsOfObjects() const {
+    std::vector<size_t> regions;
+    for (uint64_t object = 0; object < kObjects; ++object) {
+      regions.push_back(m_shares.RegionOf(object, kAll));
+    }
+    return regions;
+  }
+
+  void Run(const std::vector<RegionLoad>& loads, Duration time) {
+    for (Duration step{}; step < time; step += milliseconds(100)) {
+      m_now += milliseconds(100);
+      m_shares.Update(loads, kPerSecond, m_now);
+    }
+  }
+};
+
+std::unique_ptr<SharesFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<SharesFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(RegionShares, .init = SetUp, .fini = TearDown);
+
+Test(RegionShares, NotStarted_FewSlotsAtHome_SendsTheRestWhereSlotsAre) {
+  cr_assert_float_eq(g_fixture->m_shares.Share(0), 0.5, 0.01);
+  cr_assert_float_eq(g_fixture->m_shares.Share(2), 0.5, 0.01);
+}
+
+// Servers register one after the other while the system starts. A split set by
+// the first few of them and then moved at the bounded rate would be wrong for
+// many seconds.
+Test(RegionShares, NotStarted_MoreServersRegister_SplitFollows) {
+  RegionShares shares(kRegions, kOwn);
+  shares.Update({{0, 0}, {5, 0}, {0, 0}}, kPerSecond, TimePoint(seconds(1)));
+  shares.Update(Loads(0, 0, 0), kPerSecond, TimePoint(seconds(2)));
+  cr_assert_float_eq(shares.Share(0), 0.5, 0.01);
+}
+
+// The own region is overloaded from one moment to the next, with room
+// elsewhere. Objects move there, but no two seconds move more than 0.15 of
+// them; each moved object meets servers that are not warm for it.
+Test(RegionShares, Overload_RoomElsewhere_MovesAtMostTheAllowedPart) {
+  const auto before = g_fixture->RegionsOfObjects();
+  g_fixture->Run(Loads(2, 0.2, 0.1), seconds(2));
+  const auto after = g_fixture->RegionsOfObjects();
+  size_t moved = 0;
+  for (size_t object = 0; object < kObjects; ++object) {
+    moved += before[object] != after[object] ? 1 : 0;
+  }
+  cr_assert_gt(moved, kObjects / 50);
+  cr_assert_leq(moved, kObjects * 15 / 100);
+}
+
+Test(RegionShares, Overload_Everywhere_NothingMoves) {
+  g_fixture->Run(Loads(2, 2, 2), seconds(5));
+  cr_assert_float_eq(g_fixture->m_shares.Share(0), 0.5, 0.01);
+}
+
+Test(RegionShares, OwnServersGone_AnyLoad_AllGoElsewhere) {
+  g_fixture->Run({{0, 0}, {20, 0.5}, {30, 0.5}}, milliseconds(100));
+  const auto regions = g_fixture->RegionsOfObjects();
+  cr_assert_eq(std::count(regions.begin(), regions.end(), kOwn), 0);
+}
+
+// Requests with home regions are only run there, also where the split has no
+// share for those.
+Test(RegionShares, HomeElsewhere_NoShareThere_RunsAtHome) {
+  cr_assert_eq(g_fixture->m_shares.RegionOf(7, 0b010), 1);
+}
+
+Test(RegionShares, HomeWithoutServers_Elsewhere_IsNoRegion) {
+  g_fixture->Run({{10, 0}, {0, 0}, {30, 0}}, milliseconds(100));
+  cr_assert_eq(g_fixture->m_shares.RegionOf(7, 0b010), kRegions);
+}
+
+}  // namespace
+}  // namespace sorrelplank
