--- /dev/null
+++ b/tests/store_watch_test.cc
@@ -0,0 +1,186 @@
+/// @file store_watch_test.cc Following the store through its faults.
+
+#include "platform/store_watch.h"
+
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include <asio.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/registration.h"
+#include "platform/store_client.h"
+#include "proxy/decision_log.h"
+#include "standin/store_standin.h"
+
+namespace sorrelplank::platform {
+namespace {
+
+/// A port that nobody uses at the moment.
+uint16_t FreePort() {
+  asio::io_context io;
+  const asio::ip::tcp::acceptor acceptor(
+      io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return acceptor.local_endpoint().port();
+}
+
+/// A stand-in store and a watch on it, over loopback.
+struct WatchFixture {
+  asio::io_context m_io{1};
+  uint16_t m_port = FreePort();
+  StoreStandin m_store{m_io};
+  HttpServer m_server{
+      m_io,
+      "127.0.0.1",
+      m_port,
+      {},
+      [this](const HttpRequest& request, const HttpReply& reply) {
+        m_store.Serve(request, reply);
+      }};
+  HttpClient m_http{m_io};
+  StoreClient m_client{
+      VmAddress{asio::ip::address_v4::loopback().to_uint(), m_port},
+      [this](HttpFetch fetch, std::function<void(HttpResult)> done) {
+        m_http.Start(std::move(fetch), std::move(done));
+      }};
+  int m_pipe[2] = {-1, -1};
+  std::unique_ptr<DecisionLog> m_log;
+  std::map<std::string, std::string> m_seen;
+  std::unique_ptr<StoreWatch> m_watch;
+
+  WatchFixture() {
+    cr_assert_eq(pipe(m_pipe), 0);
+    m_log = std::make_unique<DecisionLog>("vm", m_pipe[1]);
+    m_watch = std::make_unique<StoreWatch>(
+        m_io, m_client, *m_log, [this](const StoreMirror::Changes& changes) {
+          for (const StoreItem& item : changes) {
+            if (item.m_removed) {
+              m_seen.erase(item.m_key);
+            } else {
+              m_seen[item.m_key] = item.m_value;
+            }
+          }
+        });
+  }
+
+  ~WatchFixture() {
+    close(m_pipe[0]);
+    close(m_pipe[1]);
+  }
+
+  void Put(const std::string& key, const std::string& value) {
+    bool is_done = false;
+    m_client.Put(key, value, LeaseId(), [&](StoreEnd) { is_done = true; });
+    RunUntil([&] { return is_done; });
+  }
+
+  void SetFaults(const std::string& faults) {
+    HttpRequest request;
+    request.m_path = "/v1/fault";
+    request.m_body = faults;
+    m_store.Serve(request, [](const HttpResponse&) {});
+  }
+
+  bool Sees(const std::string& key, const std::string& value) const {
+    const auto it = m_seen.find(key);
+    return it != m_seen.end() && it->second == value;
+  }
+
+  /// Ends the test by its own time limit where the condition never holds.
+  template <typename Condition>
+  void RunUntil(const Condition& is_done) {
+    m_io.restart();
+    while (!is_done()) {
+      m_io.run_one();
+    }
+  }
+};
+
+std::unique_ptr<WatchFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<WatchFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(StoreWatch, .init = SetUp, .fini = TearDown, .timeout = 60);
+
+Test(StoreWatch, ManyKeys_MoreThanAPage_AreAllRead) {
+  for (int number = 0; number < 120; ++number) {
+    g_fixture->Put("servers/i-" + std::to_string(number), "x");
+  }
+  g_fixture->m_watch->Start();
+  g_fixture->RunUntil([] { return g_fixture->m_seen.size() == 120; });
+}
+
+Test(StoreWatch, Change_AfterStart_IsSeen) {
+  g_fixture->m_watch->Start();
+  g_fixture->RunUntil([] { return g_fixture->m_watch->IsLoaded(); });
+  g_fixture->Put("op/config", "new");
+  g_fixture->RunUntil([] { return g_fixture->Sees("op/config", "new"); });
+}
+
+// The store forgets its history while a change was made: the watch learns that
+// it cannot go on, and everything is read again.
+Test(StoreWatch, HistoryForgotten_ChangeMissed_IsReadAgain) {
+  g_fixture->Put("op/config", "old");
+  g_fixture->m_watch->Start();
+  g_fixture->RunUntil([] { return g_fixture->Sees("op/config", "old"); });
+  g_fixture->SetFaults(R"({"forget_history":true})");
+  g_fixture->Put("op/config", "new");
+  g_fixture->SetFaults(R"({"forget_history":true})");
+  g_fixture->RunUntil([] { return g_fixture->Sees("op/config", "new"); });
+}
+
+// The store answers nothing for a second, or refuses everything. What was known
+// stays known, and what changes afterwards is seen.
+Test(StoreWatch, Outage_SilentOrRefusing_GoesOnAfterwards) {
+  g_fixture->Put("op/config", "old");
+  g_fixture->m_watch->Start();
+  g_fixture->RunUntil([] { return g_fixture->Sees("op/config", "old"); });
+  for (const char* fault : {R"({"silent_ms":1000})", R"({"refuse_ms":1000})"}) {
+    g_fixture->SetFaults(fault);
+    bool is_over = false;
+    asio::steady_timer timer(g_fixture->m_io, seconds(1));
+    timer.async_wait([&](std::error_code) { is_over = true; });
+    g_fixture->RunUntil([&] { return is_over; });
+    cr_assert(g_fixture->m_seen.contains("op/config"));
+    g_fixture->Put("op/config", fault);
+    g_fixture->RunUntil([&] { return g_fixture->Sees("op/config", fault); });
+  }
+}
+
+// Every answer to a write is lost, though it was done, and some writes are done
+// only later. The entry stands in the store in the end, once.
+Test(StoreWatch, Registration_AnswersLost_EntryAppears) {
+  g_fixture->m_watch->Start();
+  g_fixture->SetFaults(R"({"late_ms":200})");
+  Registration registration(g_fixture->m_io, g_fixture->m_client,
+                            *g_fixture->m_log, "fleet/vm", "entry", seconds(3));
+  registration.Start();
+  g_fixture->RunUntil([] { return g_fixture->Sees("fleet/vm", "entry"); });
+  g_fixture->SetFaults("{}");
+}
+
+// Somebody takes the VM's entry away while it lives: it writes it again.
+Test(StoreWatch, Registration_EntryRemoved_IsWrittenAgain) {
+  Registration registration(g_fixture->m_io, g_fixture->m_client,
+                            *g_fixture->m_log, "fleet/vm", "entry", seconds(3));
+  g_fixture->m_watch->Start();
+  registration.Start();
+  g_fixture->RunUntil([] { return g_fixture->Sees("fleet/vm", "entry"); });
+  g_fixture->m_client.EndLease(LeaseId(1), [](StoreEnd) {});
+  g_fixture->RunUntil([] { return g_fixture->m_seen.empty(); });
+  registration.OnRemoved();
+  g_fixture->RunUntil([] { return g_fixture->Sees("fleet/vm", "entry"); });
+}
+
+}  // namespace
+}  // namespace sorrelplank::platform
