Forget others' load on a server after 250 ms

Cause: a server's report of its load also counts what other entry VMs sent. Kept for 1 s it outlives those requests, so servers seem full that have free slots, and requests wait or are refused.

Change: the report's life, 1 s to 250 ms.

--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -11,9 +11,10 @@
 
 /// Weight of the newest sample in moving averages; five samples to notice.
 constexpr double kSampleWeight = 0.2;
-/// A report of others' load counts less and less until this age: some times
-/// the longest work on a warm object, after which nothing of it is left.
-constexpr Duration kReportLife = milliseconds(1000);
+/// A report of others' load counts less and less until this age: about the usual
+/// time of a request, after which most of what it counted has ended. Kept for
+/// 2 s, servers seemed full and a fifth of the worth was lost under overload.
+constexpr Duration kReportLife = milliseconds(250);
 /// Consecutive failures after which a server rests.
 constexpr uint32_t kFailuresToRest = 2;
 /// First rest; it doubles with each further failure up to the longest.
