--- a/src/steer/admission.cc
+++ b/src/steer/admission.cc
@@ -13,7 +13,7 @@
 /// Part of the time until the target that may be spent waiting where the usual
 /// latency alone misses the target; the answer is late anyway, a long wait
 /// would only take the place of requests that can be met.
-constexpr double kLateWaitPart = 0.25;
+constexpr double kLateWaitPart = 0.5;
 /// Nobody is asked to come back sooner than a slot usually comes free.
 constexpr Duration kSoonest = milliseconds(150);
 /// Or later than overload of this kind lasts.
--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -47,6 +47,9 @@
     return;
   }
   const double step = most_shift_per_second * ToMilliseconds(since) / 1000;
+  if (!loads[m_own].m_is_known && loads[m_own].m_slots > 0) {
+    return;
+  }
   const double own = loads[m_own].m_utilisation;
   size_t best = m_own;
   for (size_t region = 0; region < m_shares.size(); ++region) {
--- a/src/steer/region_shares.h
+++ b/src/steer/region_shares.h
@@ -15,8 +15,10 @@
 struct RegionLoad {
   /// Slots of the backend servers that may be sent to.
   double m_slots = 0;
-  /// Requests under way and waiting per slot.
+  /// Requests under way and waiting per slot, of all entry VMs.
   double m_utilisation = 0;
+  /// Whether any of its servers has told its load lately.
+  bool m_is_known = true;
 };
 
 /// Splits a service's objects over regions and moves the split slowly.
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -11,10 +11,14 @@
 
 /// Weight of the newest sample in moving averages; five samples to notice.
 constexpr double kSampleWeight = 0.2;
-/// A report of others' load counts less and less until this age: about the usual
-/// time of a request, after which most of what it counted has ended. Kept for
-/// 2 s, servers seemed full and a fifth of the worth was lost under overload.
+/// A report of others' load counts less and less until this age: about the
+/// usual time of a request, after which most of what it counted has ended. Kept
+/// for 2 s, servers seemed full and a fifth of the worth was lost under
+/// overload.
 constexpr Duration kReportLife = milliseconds(250);
+/// Mean loads are for slow decisions; they are kept over some requests of a VM
+/// that sends to the server once a second.
+constexpr Duration kLoadLife = seconds(3);
 /// Consecutive failures after which a server rests.
 constexpr uint32_t kFailuresToRest = 2;
 /// First rest; it doubles with each further failure up to the longest.
@@ -94,6 +98,8 @@
   if (report.m_load) {
     const double total = report.m_load->m_running + report.m_load->m_waiting;
     m_others = std::max(0.0, total - m_own);
+    const bool is_stale = now - m_reported >= kLoadLife;
+    m_load = is_stale ? total : m_load + (total - m_load) * kSampleWeight;
     m_reported = now;
   }
   if (report.m_end == AttemptEnd::kRejected) {
@@ -142,6 +148,13 @@
   return m_own + m_others * freshness;
 }
 
+std::optional<double> ServerTrack::RecentLoad(TimePoint now) const {
+  if (now - m_reported >= kLoadLife) {
+    return std::nullopt;
+  }
+  return m_load;
+}
+
 double ServerTrack::OccupancyLimit(TimePoint now,
                                    const UsualService& usual) const {
   if (now < m_full_until) {
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -4,6 +4,7 @@
 #define SORRELPLANK_STEER_SERVER_TRACK_H_
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 #include "core/rate_window.h"
@@ -30,6 +31,9 @@
 
   /// Requests under way: our own, and those of others by its last report.
   double Occupancy(TimePoint now) const;
+  /// Requests under way and waiting at the server by its own reports, of all
+  /// entry VMs; nothing where it has not reported lately.
+  std::optional<double> RecentLoad(TimePoint now) const;
   /// Requests that it should have under way at the most.
   double OccupancyLimit(TimePoint now, const UsualService& usual) const;
   /// Whether it fails, or answers nothing at all, so that it should be given no
@@ -68,6 +72,8 @@
   uint32_t m_waiting = 0;
   double m_others = 0;
   TimePoint m_reported{};
+  /// Moving average of the reports.
+  double m_load = 0;
   QuantileTrack m_latency{0.5};
   /// Moving averages in 0..1.
   double m_failures = 0;
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -83,16 +83,22 @@
                                   TimePoint now) {
   std::vector<RegionLoad> loads(m_by_region.size());
   for (size_t region = 0; region < loads.size(); ++region) {
-    double under_way = 0;
+    double load = 0;
+    double told_slots = 0;
     for (const ServerTrack* server : m_by_region[region]) {
       if (!picker.IsUsable(*server)) {
         continue;
       }
       loads[region].m_slots += server->Entry().m_slots;
-      under_way += server->Occupancy(now) + server->Waiting();
+      const auto recent = server->RecentLoad(now);
+      if (recent) {
+        told_slots += server->Entry().m_slots;
+        load += *recent + server->Waiting();
+      }
     }
-    if (loads[region].m_slots > 0) {
-      loads[region].m_utilisation = under_way / loads[region].m_slots;
+    loads[region].m_is_known = told_slots > 0;
+    if (told_slots > 0) {
+      loads[region].m_utilisation = load / told_slots;
     }
   }
   m_shares.Update(loads, most_shift_per_second, now);
