Refuse what arrives late in a stop; move objects only when lines form

(2) A request that had used its time was sent a second time with -2 ms left.

Tests: Steering Stopping_*, Read_ErrorAtTheDeadline_* (failed before).

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
   libtclap-dev libgoogle-glog-dev libcurl4-openssl-dev nlohmann-json3-dev \
   libcriterion-dev libxxhash-dev
 
-.PHONY: install build test unit demo bench prove format lint check-examples clean
+.PHONY: install build test wire-names unit demo bench prove format lint check-examples clean
 
 install:
 	@scripts/install_packages.sh $(PACKAGES)
@@ -21,7 +21,7 @@
 	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
 	@cmake --build $(BUILD) -j $(JOBS)
 
-test: build format lint unit check-examples
+test: build format lint wire-names unit check-examples
 
 unit:
 	@cd $(BUILD) && ctest --output-on-failure -j 4
@@ -41,6 +41,9 @@
 lint:
 	@scripts/lint.sh $(BUILD) $(JOBS)
 
+wire-names:
+	@scripts/check_wire_names.sh
+
 check-examples:
 	@$(BUILD)/sorrelplank check examples/trasa
 	@$(BUILD)/sorrelplank check examples/porttivuoro
--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -11,11 +11,13 @@
 
 namespace {
 
-/// Requests per slot of the own region above which objects are sent elsewhere.
-/// Queues grow steeply above it.
-constexpr double kHigh = 0.75;
+/// Requests under way and waiting per slot of the own region above which
+/// objects are sent elsewhere: slots are full and lines form. Moved sooner,
+/// objects leave servers that are warm for them; under overload that cost a
+/// tenth of the worth.
+constexpr double kHigh = 1.2;
 /// Below this they come back; the gap keeps the split from swinging.
-constexpr double kLow = 0.4;
+constexpr double kLow = 0.7;
 /// A region that takes more must be less loaded than ours by this much.
 constexpr double kGap = 0.2;
 
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -127,8 +127,7 @@
   m_settings.m_most_shift = settings.m_most_shift;
 }
 
-std::vector<std::string> Steering::HomeRegionsOf(
-    const std::string& host) const {
+std::vector<std::string> Steering::HomesOf(const std::string& host) const {
   RegionShares::Mask mask = ~RegionShares::Mask{0};
   if (m_table) {
     for (const RouteRule& route : m_table->m_routes) {
@@ -231,6 +230,13 @@
     Refuse(request, SteerRefusal::kNotReady, now);
     return;
   }
+  if (m_refuses_new) {
+    // A request on a kept connection, so late in a stop that its answer might
+    // not come before the process ends: its client would see a cut and could
+    // not tell whether it ran.
+    Refuse(request, SteerRefusal::kStopping, now);
+    return;
+  }
   if (!Route(request)) {
     Refuse(request, SteerRefusal::kNoRoute, now);
     return;
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -43,7 +43,10 @@
 
   /// Regions that may take requests of a host: those that are homes of all its
   /// routes with homes; empty: all.
-  std::vector<std::string> HomeRegionsOf(const std::string& host) const;
+  std::vector<std::string> HomesOf(const std::string& host) const;
+
+  /// From now on new requests are refused; those under way are finished.
+  void RefuseNew() { m_refuses_new = true; }
 
   // Requests.
   void Arrived(RequestFacts facts, TimePoint now);
@@ -108,6 +111,7 @@
   std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
   RequestMap m_requests;
   uint64_t m_next_attempt = 1;
+  bool m_refuses_new = false;
   TimePoint m_shares_updated{};
 };
 
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -14,6 +14,9 @@
 constexpr int kMostMisses = 8;
 /// A second copy goes out once a send takes this many usual latencies.
 constexpr int kSecondCopyFactor = 4;
+/// A second send with less time left than this, or than half of the usual
+/// latency, would cost a server work that nobody waits for.
+constexpr Duration kLeastSendTime = milliseconds(50);
 /// Part of the retry ratio that is used. The window of one VM ends at another
 /// moment than that of the sum over all, by a tick of a twentieth.
 constexpr double kRetryRatioPart = 0.9;
@@ -79,6 +82,10 @@
   if (request.m_may_have_run && !request.m_route->m_idempotent) {
     return false;
   }
+  const Duration usual = Service(request.m_service).Usual().m_latency;
+  if (request.m_finish_by - now < std::max(kLeastSendTime, usual / 2)) {
+    return false;
+  }
   const double vms =
       std::max<double>(1, static_cast<double>(m_picker.Fleet().size()));
   request.m_resend_paid =
--- a/tests/steering_test.cc
+++ b/tests/steering_test.cc
@@ -193,6 +193,18 @@
   cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kTimedOut);
 }
 
+// The server gives up at the deadline and says so. Sending the request to
+// another server would cost that one a slot for an answer that is late for
+// certain; the caller gets what there is.
+Test(Steering, Read_ErrorAtTheDeadline_IsNotSentAgain) {
+  g_fixture->Arrive("/read/x");
+  const SendToServer send = *g_fixture->Last<SendToServer>();
+  g_fixture->m_now += milliseconds(1990);
+  g_fixture->End(send, AttemptEnd::kServerError);
+  cr_assert_eq(g_fixture->Count<SendToServer>(), 1);
+  cr_assert_eq(g_fixture->Count<ForwardServerAnswer>(), 1);
+}
+
 Test(Steering, Client_Leaves_SendIsCancelled) {
   const RequestId id = g_fixture->Arrive("/read/x");
   g_fixture->m_steering.ClientLeft(id, g_fixture->m_now);
@@ -277,6 +289,19 @@
   cr_assert_leq(resends, requests / 5 + 10, "%zu", resends);
 }
 
+// The process is about to exit. A client that still holds a connection sends a
+// request; it is told at once that it did not run, and comes back elsewhere.
+// What runs already is finished.
+Test(Steering, Stopping_NewRequest_IsRefusedAsNotRun) {
+  g_fixture->Arrive("/write/x");
+  g_fixture->m_steering.RefuseNew();
+  g_fixture->Arrive("/write/y");
+  cr_assert_eq(g_fixture->Count<SendToServer>(), 1);
+  cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kStopping);
+  g_fixture->End(*g_fixture->Last<SendToServer>(), AttemptEnd::kAnswered);
+  cr_assert_eq(g_fixture->Count<ForwardServerAnswer>(), 1);
+}
+
 // A request waits for a slot while the operators take its route away. It is
 // answered by the new table, like one that arrives now.
 Test(Steering, Waiting_RouteRemoved_Is404) {
