Tell a request's story from logs, and log changes of belief

Cause: on-call engineers have only logs. The lines told each decision on a request, not that a server was taken as failing or that objects moved to another region; and lines of many processes had to be merged by hand.

Ruled out: gathering from processes that run (`timeline` does that for `serve`; a process that died took its events along).

--- a/src/cli/command_type.h
+++ b/src/cli/command_type.h
@@ -33,6 +33,7 @@
 int RunStatus(std::vector<std::string> arguments);
 int RunExplain(std::vector<std::string> arguments);
 int RunTimeline(std::vector<std::string> arguments);
+int RunExplainLog(std::vector<std::string> arguments);
 
 }  // namespace sorrelplank
 
--- a/src/main.cc
+++ b/src/main.cc
@@ -19,6 +19,7 @@
     {"status", "show versions, headroom and leaving servers", RunStatus},
     {"explain", "show what a caller would be answered, and why", RunExplain},
     {"timeline", "show the events of all entry VMs in one order", RunTimeline},
+    {"explain-log", "tell a request's story from log lines", RunExplainLog},
 };
 
 void PrintHelp(std::ostream& out) {
@@ -27,7 +28,7 @@
          "usage: sorrelplank COMMAND [OPTIONS]\n\n";
   for (const Command& command : kCommands) {
     out << "  " << command.m_name
-        << std::string(12 - std::string(command.m_name).size(), ' ')
+        << std::string(13 - std::string(command.m_name).size(), ' ')
         << command.m_help << "\n";
   }
   out << "\nsorrelplank COMMAND --help tells a command's options.\n"
--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -259,6 +259,11 @@
   Answer(action.m_request, std::move(response), row.m_name);
 }
 
+void Front::Run(const BeliefChanged& action) {
+  m_log.Write(action.m_what,
+              {{"subject", action.m_subject}, {"value", action.m_value}});
+}
+
 void Front::Answer(RequestId request,
                    HttpResponse response,
                    const char* outcome) {
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -54,6 +54,8 @@
   bool HasColdRoom(uint32_t most_per_second, TimePoint now);
 
   uint32_t InFlight() const { return m_own; }
+  /// Consecutive sends that failed.
+  uint32_t FailuresInRow() const { return m_failures_in_row; }
   /// Whether this VM sent a request on the object here lately.
   bool IsWarmFor(uint64_t object, TimePoint now) const;
   void MarkWarmFor(uint64_t object, TimePoint now);
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -54,8 +54,20 @@
   uint32_t m_sends = 0;
 };
 
-using SteerAction =
-    std::variant<SendToServer, CancelSend, ForwardServerAnswer, RefuseRequest>;
+/// Nothing to do: what the decisions believe has changed, for logs.
+struct BeliefChanged {
+  /// A constant, such as "server_rests".
+  const char* m_what = "";
+  /// A server's instance or a service.
+  std::string m_subject;
+  double m_value = 0;
+};
+
+using SteerAction = std::variant<SendToServer,
+                                 CancelSend,
+                                 ForwardServerAnswer,
+                                 RefuseRequest,
+                                 BeliefChanged>;
 
 }  // namespace sorrelplank
 
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -3,6 +3,7 @@
 #include "steer/steered_service.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "steer/server_picker.h"
 
@@ -12,6 +13,8 @@
 
 /// Sends after which a change of the part that is rejected shows.
 constexpr double kRejectionSamples = 20;
+/// Change of the own region's share that is worth a log line.
+constexpr double kToldStep = 0.1;
 /// Answers that the mean goes over.
 constexpr int kMeanSamples = 20;
 /// Milliseconds; keeps the first answers from promising too much.
@@ -104,4 +107,13 @@
   m_shares.Update(loads, most_shift_per_second, now);
 }
 
+std::optional<double> SteeredService::ShareToTell() {
+  const double share = m_shares.Share(m_own);
+  if (std::abs(share - m_told_share) < kToldStep) {
+    return std::nullopt;
+  }
+  m_told_share = share;
+  return share;
+}
+
 }  // namespace sorrelplank
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,8 @@
                     TimePoint now);
 
   RegionShares& Shares() { return m_shares; }
+  /// The own region's share if it has changed much since it was last told.
+  std::optional<double> ShareToTell();
   RetryAllowance& Retries() { return m_retries; }
   /// Waiting requests in the order in which they are served.
   std::list<RequestId>& Waiting() { return m_waiting; }
@@ -54,6 +57,7 @@
   std::vector<std::vector<ServerTrack*>> m_by_region;
   std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
   RegionShares m_shares;
+  double m_told_share = 1;
   RetryAllowance m_retries;
   std::list<RequestId> m_waiting;
   QuantileTrack m_latency{0.5};
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -275,13 +275,20 @@
   return m_picker.Pick(*servers, RulesOf(request.m_service), need, now);
 }
 
+void Steering::UpdateShares(TimePoint now) {
+  for (auto& [name, service] : m_services) {
+    service->UpdateShares(m_picker, m_settings.m_most_shift * kShiftPart, now);
+    const auto share = service->ShareToTell();
+    if (share) {
+      m_sink(BeliefChanged{"own_region_share", name, *share});
+    }
+  }
+}
+
 void Steering::Tick(TimePoint now) {
   if (now - m_shares_updated >= kSharesInterval) {
     m_shares_updated = now;
-    for (auto& [name, service] : m_services) {
-      service->UpdateShares(m_picker, m_settings.m_most_shift * kShiftPart,
-                            now);
-    }
+    UpdateShares(now);
   }
   std::vector<RequestId> ids;
   ids.reserve(m_requests.size());
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -98,6 +98,11 @@
   void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
   void CancelLive(SteeredRequest& request, bool counts_as_lost, TimePoint now);
   void Forget(RequestId id);
+  /// Notes the end of a send, and tells where the server's standing changed.
+  void CountEnd(ServerTrack& server,
+                const AttemptReport& report,
+                TimePoint now);
+  void UpdateShares(TimePoint now);
 
   SteeringSettings m_settings;
   Sink m_sink;
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -144,7 +144,7 @@
   if (live == request.m_live.end()) {
     return;
   }
-  live->m_server->CountEnd(report, now);
+  CountEnd(*live->m_server, report, now);
   if (report.m_end == AttemptEnd::kWrongInstance) {
     live->m_server->MarkGone();
   }
@@ -271,7 +271,7 @@
     if (counts_as_lost) {
       AttemptReport report;
       report.m_end = AttemptEnd::kLost;
-      live.m_server->CountEnd(report, now);
+      CountEnd(*live.m_server, report, now);
     } else {
       live.m_server->CountCancel();
     }
@@ -280,6 +280,22 @@
   request.m_live.clear();
 }
 
+void Steering::CountEnd(ServerTrack& server,
+                        const AttemptReport& report,
+                        TimePoint now) {
+  const UsualService usual = Service(server.Entry().m_service).Usual();
+  const uint32_t failures = server.FailuresInRow();
+  server.CountEnd(report, now);
+  const std::string& instance = server.Entry().m_instance;
+  if (server.FailuresInRow() > failures && server.IsResting(now, usual)) {
+    m_sink(BeliefChanged{"server_rests", instance,
+                         static_cast<double>(server.FailuresInRow())});
+  } else if (failures > 0 && server.FailuresInRow() == 0) {
+    m_sink(BeliefChanged{"server_recovered", instance,
+                         static_cast<double>(failures)});
+  }
+}
+
 void Steering::Forget(RequestId id) {
   const auto it = m_requests.find(id);
   if (it->second.m_waits) {
