--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -54,6 +54,14 @@
       std::chrono::duration<double, std::milli>(ms));
 }
 
+size_t HeadBytes(const HttpRequest& request) {
+  size_t bytes = request.m_target.size();
+  for (const auto& [name, value] : request.m_headers) {
+    bytes += name.size() + value.size();
+  }
+  return bytes;
+}
+
 uint64_t HashOf(const std::string& text) {
   return XXH3_64bits(text.data(), text.size());
 }
@@ -93,6 +101,12 @@
     return;
   }
   const RoutingTable* table = m_steering.Table();
+  // Without a table the limits are unknown, and the request is refused as not
+  // run further on.
+  if (table != nullptr && HeadBytes(request) > table->m_limits.m_header_bytes) {
+    AnswerMalformed(reply, 431, "head too large");
+    return;
+  }
   if (table != nullptr &&
       request.m_body.size() > table->m_limits.m_body_bytes) {
     AnswerMalformed(reply, 413, "body too large");
--- /dev/null
+++ b/tests/front_test.cc
@@ -0,0 +1,247 @@
+/// @file front_test.cc A client's request through to a server and back.
+
+#include "proxy/front.h"
+
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include <asio.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "proxy/decision_log.h"
+#include "proxy/proxy_metrics.h"
+
+namespace sorrelplank {
+namespace {
+
+using asio::ip::tcp;
+
+ProxyNames Names() {
+  return {.m_request_id = "id",
+          .m_deadline_ms = "deadline",
+          .m_expected_instance = "expect-instance",
+          .m_object = "object",
+          .m_stamp = "stamp",
+          .m_not_run = "not-run",
+          .m_load = "load",
+          .m_instance = "instance"};
+}
+
+SteeringSettings MakeSettings() {
+  return {.m_vm = "vm-1",
+          .m_failure_domain = "d1",
+          .m_region = "r1",
+          .m_regions = {{"d1", "r1"}},
+          .m_retry_ratio = 0.2,
+          .m_retry_extra = 10,
+          .m_retry_window = seconds(10)};
+}
+
+/// A front with one route, and one backend server that answers once.
+struct FrontFixture {
+  asio::io_context m_io{1};
+  int m_pipe[2] = {-1, -1};
+  std::unique_ptr<DecisionLog> m_log;
+  ProxyMetrics m_metrics{"vm-1"};
+  std::unique_ptr<Front> m_front;
+  tcp::acceptor m_acceptor{m_io,
+                           tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+  tcp::socket m_peer{m_io};
+  std::string m_answer;
+  std::string m_received;
+  std::array<char, 4096> m_buffer{};
+  bool m_peer_closed = false;
+  std::optional<HttpResponse> m_reply;
+
+  FrontFixture() {
+    cr_assert_eq(pipe(m_pipe), 0);
+    m_log = std::make_unique<DecisionLog>("vm-1", m_pipe[1]);
+    m_front = std::make_unique<Front>(m_io, MakeSettings(), Names(), *m_log,
+                                      m_metrics);
+    auto table = std::make_shared<RoutingTable>();
+    table->m_version = 1;
+    table->m_routes = {{.m_name = "r",
+                        .m_host = "h",
+                        .m_prefix = "/x/",
+                        .m_idempotent = true,
+                        .m_timeout = seconds(20),
+                        .m_target_latency = seconds(1),
+                        .m_most_sends = 1,
+                        .m_home_regions = {},
+                        .m_shares = {{"s", 1}}}};
+    table->m_services["s"] = {.m_name = "s"};
+    table->m_limits.m_body_bytes = 100;
+    table->m_limits.m_header_bytes = 1000;
+    const TimePoint now;
+    m_front->Decisions().Install(table, now);
+    m_front->Decisions().PutServer({"i-1",
+                                    "s",
+                                    {asio::ip::address_v4::loopback().to_uint(),
+                                     m_acceptor.local_endpoint().port()},
+                                    "d1",
+                                    4,
+                                    false,
+                                    {}},
+                                   now);
+    m_front->Decisions().Tick(now + seconds(1));
+    m_acceptor.async_accept(m_peer, [this](std::error_code error) {
+      if (!error) {
+        Read();
+      }
+    });
+  }
+
+  ~FrontFixture() {
+    m_front.reset();
+    close(m_pipe[0]);
+    close(m_pipe[1]);
+  }
+
+  void Read() {
+    m_peer.async_read_some(asio::buffer(m_buffer),
+                           [this](std::error_code error, size_t bytes) {
+                             if (error) {
+                               m_peer_closed = true;
+                               return;
+                             }
+                             m_received.append(m_buffer.data(), bytes);
+                             if (!m_answer.empty()) {
+                               asio::write(m_peer, asio::buffer(m_answer));
+                             }
+                             Read();
+                           });
+  }
+
+  static HttpRequest Request() {
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_path = "/x/y";
+    request.m_target = "/x/y?q=1";
+    request.m_headers = {{"host", "h"},
+                         {"id", "r1"},
+                         {"object", "17"},
+                         {"deadline", "5000"},
+                         {"connection", "keep-alive"},
+                         {"expect-instance", "forged"},
+                         {"other", "kept"}};
+    request.m_body = "body";
+    request.m_connection = 9;
+    return request;
+  }
+
+  void Accept(HttpRequest request) {
+    m_front->Accept(std::move(request), [this](HttpResponse response) {
+      m_reply = std::move(response);
+    });
+  }
+
+  template <typename Condition>
+  void RunUntil(const Condition& is_done) {
+    m_io.restart();
+    while (!is_done()) {
+      m_io.run_one();
+    }
+  }
+
+  bool Received(const std::string& text) const {
+    return m_received.find(text) != std::string::npos;
+  }
+};
+
+std::unique_ptr<FrontFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<FrontFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(Front, .init = SetUp, .fini = TearDown, .timeout = 30);
+
+Test(Front, Request_Forwarded_KeepsWhatIsTheClients) {
+  g_fixture->m_answer =
+      "HTTP/1.1 201 X\r\nid: r1\r\nstamp: s\r\nload: 1,0,4\r\n"
+      "custom: c\r\ncontent-length: 2\r\n\r\nok";
+  g_fixture->Accept(FrontFixture::Request());
+  g_fixture->RunUntil([] { return g_fixture->m_reply.has_value(); });
+  cr_assert(g_fixture->Received("POST /x/y?q=1 HTTP/1.1\r\n"));
+  cr_assert(g_fixture->Received("other: kept\r\n"));
+  cr_assert(g_fixture->Received("expect-instance: i-1\r\n"));
+  cr_assert(g_fixture->Received("content-length: 4\r\n"));
+  cr_assert(g_fixture->Received("\r\n\r\nbody"));
+  cr_assert_not(g_fixture->Received("forged"));
+  cr_assert_not(g_fixture->Received("connection: keep-alive"));
+  const HttpResponse& reply = *g_fixture->m_reply;
+  cr_assert_eq(reply.m_status, 201);
+  cr_assert_str_eq(reply.m_body.c_str(), "ok");
+  bool has_stamp = false;
+  for (const auto& [name, value] : reply.m_headers) {
+    has_stamp |= name == "stamp" && value == "s";
+    cr_assert_str_neq(name.c_str(), "load");
+    cr_assert_str_neq(name.c_str(), "content-length");
+  }
+  cr_assert(has_stamp);
+}
+
+// The client gives up and closes its connection. The server must learn of it,
+// or it works on for nobody.
+Test(Front, Client_Leaves_ServersConnectionIsClosed) {
+  g_fixture->Accept(FrontFixture::Request());
+  g_fixture->RunUntil([] { return !g_fixture->m_received.empty(); });
+  g_fixture->m_front->ClientClosed(9);
+  g_fixture->RunUntil([] { return g_fixture->m_peer_closed; });
+  cr_assert_not(g_fixture->m_reply.has_value());
+}
+
+Test(Front, Stopping_Answer_ClosesTheConnection) {
+  g_fixture->m_answer =
+      "HTTP/1.1 200 X\r\nid: r1\r\nstamp: s\r\ncontent-length: 0\r\n\r\n";
+  g_fixture->m_front->SetStopping();
+  g_fixture->Accept(FrontFixture::Request());
+  g_fixture->RunUntil([] { return g_fixture->m_reply.has_value(); });
+  cr_assert(g_fixture->m_reply->m_close);
+}
+
+/// A request that is refused before any decision.
+struct BadRequest {
+  const char* m_what;
+  int m_status;
+  void (*m_spoil)(HttpRequest&);
+};
+
+constexpr BadRequest kBadRequests[] = {
+    {"no id", 400, [](HttpRequest& r) { r.m_headers.erase("id"); }},
+    {"empty id", 400, [](HttpRequest& r) { r.m_headers["id"] = ""; }},
+    {"no host", 400, [](HttpRequest& r) { r.m_headers.erase("host"); }},
+    {"long body", 413, [](HttpRequest& r) { r.m_body.assign(101, 'x'); }},
+    {"long head", 431,
+     [](HttpRequest& r) { r.m_headers["other"].assign(1000, 'x'); }},
+    {"no route", 404, [](HttpRequest& r) { r.m_path = "/z/"; }}};
+
+Test(Front, BadRequest_EachKind_IsAnsweredAtOnce) {
+  for (const BadRequest& bad : kBadRequests) {
+    HttpRequest request = FrontFixture::Request();
+    bad.m_spoil(request);
+    g_fixture->m_reply.reset();
+    g_fixture->Accept(std::move(request));
+    cr_assert(g_fixture->m_reply.has_value(), "%s", bad.m_what);
+    cr_assert_eq(g_fixture->m_reply->m_status, bad.m_status, "%s", bad.m_what);
+  }
+}
+
+// No server is left: the client is told at once that nothing ran, and when to
+// come back.
+Test(Front, NoServer_Refusal_SaysWhenToComeBack) {
+  g_fixture->m_front->Decisions().RemoveServer("i-1", TimePoint());
+  g_fixture->Accept(FrontFixture::Request());
+  cr_assert_eq(g_fixture->m_reply->m_status, 503);
+  cr_assert_str_eq(g_fixture->m_reply->m_headers.back().first.c_str(),
+                   "Retry-After");
+}
+
+}  // namespace
+}  // namespace sorrelplank
