--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -12,8 +12,10 @@
 /// Waiting requests that are looked at in a row without one finding a server;
 /// then the service is taken as full.
 constexpr int kMostMisses = 8;
-/// A second copy goes out once a send takes this many usual latencies.
-constexpr int kSecondCopyFactor = 4;
+/// A second copy goes out once a send takes this many usual latencies. Work on
+/// an object that is not warm takes 3.3, and as long again in a server's queue;
+/// a copy for those would only take slots.
+constexpr int kSecondCopyFactor = 8;
 /// A second send with less time left than this, or than half of the usual
 /// latency, would cost a server work that nobody waits for.
 constexpr Duration kLeastSendTime = milliseconds(50);
