Expect six tenths of a server's free slots

Cause: a request that finds its server full is told by the line's expected wait whether it may wait. Where none of this VM's requests ran there, it expected three tenths of the server's ends and turned away what would have been met.

Change: the expected part, 0.3 to 0.6.

--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -20,7 +20,7 @@
 /// Milliseconds; keeps the first answers from promising too much.
 constexpr double kLeastUsual = 50;
 /// Part of a server's ends that is expected where none of ours are under way.
-constexpr double kLeastPart = 0.3;
+constexpr double kLeastPart = 0.6;
 
 }  // namespace
 
