--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -45,6 +45,14 @@
   return it->second;
 }
 
+const std::string* FindField(const HttpHeaders& headers,
+                             const std::string& name) {
+  const auto it =
+      std::find_if(headers.begin(), headers.end(),
+                   [&](const auto& field) { return field.first == name; });
+  return it == headers.end() ? nullptr : &it->second;
+}
+
 std::string ToLower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
     return static_cast<char>(std::tolower(c));
--- a/src/net/http_message_type.h
+++ b/src/net/http_message_type.h
@@ -86,6 +86,10 @@
   std::string m_error;
 };
 
+/// The value of the first field with a lower-case name, or nullptr.
+const std::string* FindField(const HttpHeaders& headers,
+                             const std::string& name);
+
 /// ASCII letters in lower case.
 std::string ToLower(std::string text);
 
--- a/src/proxy/reply_judge.cc
+++ b/src/proxy/reply_judge.cc
@@ -1,6 +1,5 @@
 /// @file reply_judge.cc Only a server's own word proves "not run".
 
-#include <algorithm>
 #include <charconv>
 
 #include "proxy/proxy_names_type.h"
@@ -13,21 +12,14 @@
 
 constexpr int kMisdirected = 421;
 
-const std::string* Find(const HttpHeaders& headers, const std::string& name) {
-  const auto it =
-      std::find_if(headers.begin(), headers.end(),
-                   [&](const auto& field) { return field.first == name; });
-  return it == headers.end() ? nullptr : &it->second;
-}
-
 AttemptEnd JudgeAnswer(const HttpResponse& answer, const ProxyNames& names) {
   if (answer.m_status == kMisdirected) {
     return AttemptEnd::kWrongInstance;
   }
-  if (Find(answer.m_headers, names.m_not_run) != nullptr) {
+  if (FindField(answer.m_headers, names.m_not_run) != nullptr) {
     return AttemptEnd::kRejected;
   }
-  if (Find(answer.m_headers, names.m_stamp) == nullptr &&
+  if (FindField(answer.m_headers, names.m_stamp) == nullptr &&
       answer.m_status < 300) {
     // A success that no server vouches for is nobody's answer.
     return AttemptEnd::kLost;
@@ -52,7 +44,7 @@
       break;
   }
   report.m_end = JudgeAnswer(reply.m_response, names);
-  const std::string* load = Find(reply.m_response.m_headers, names.m_load);
+  const std::string* load = FindField(reply.m_response.m_headers, names.m_load);
   if (load != nullptr) {
     report.m_load = ParseLoad(*load);
   }
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -25,14 +25,6 @@
 /// Taken where the server promises no time.
 constexpr Duration kUnstatedKeep = seconds(3);
 
-const std::string* FindField(const HttpHeaders& headers,
-                             const std::string& name) {
-  const auto it =
-      std::find_if(headers.begin(), headers.end(),
-                   [&](const auto& field) { return field.first == name; });
-  return it == headers.end() ? nullptr : &it->second;
-}
-
 }  // namespace
 
 ServerConnection::ServerConnection(asio::io_context& io,
--- /dev/null
+++ b/tests/store_knowledge_test.cc
@@ -0,0 +1,122 @@
+/// @file store_knowledge_test.cc What the store says, handed to the decisions.
+
+#include "platform/store_knowledge.h"
+
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include <asio.hpp>
+#include <memory>
+#include <string>
+
+#include "platform/decode_func.h"
+#include "proxy/decision_log.h"
+#include "proxy/front.h"
+#include "proxy/proxy_metrics.h"
+
+namespace sorrelplank::platform {
+namespace {
+
+/// Decisions that know nothing yet.
+struct KnowledgeFixture {
+  asio::io_context m_io{1};
+  int m_pipe[2] = {-1, -1};
+  std::unique_ptr<DecisionLog> m_log;
+  ProxyMetrics m_metrics{"vm-1"};
+  std::unique_ptr<Front> m_front;
+  std::unique_ptr<StoreKnowledge> m_knowledge;
+  int m_own_removed = 0;
+  TimePoint m_now{seconds(1)};
+  uint64_t m_revision = 0;
+
+  KnowledgeFixture() {
+    cr_assert_eq(pipe(m_pipe), 0);
+    m_log = std::make_unique<DecisionLog>("vm-1", m_pipe[1]);
+    SteeringSettings settings;
+    settings.m_vm = "vm-1";
+    settings.m_failure_domain = "d1";
+    settings.m_region = "r1";
+    settings.m_regions = {{"d1", "r1"}};
+    m_front = std::make_unique<Front>(m_io, settings, ProxyNames(), *m_log,
+                                      m_metrics);
+    m_knowledge = std::make_unique<StoreKnowledge>(
+        *m_front, *m_log, "fleet/vm-1", [this] { ++m_own_removed; });
+  }
+
+  ~KnowledgeFixture() {
+    m_front.reset();
+    close(m_pipe[0]);
+    close(m_pipe[1]);
+  }
+
+  void Put(const std::string& key, const std::string& value) {
+    m_knowledge->Take({{key, value, Revision(++m_revision), false}}, m_now);
+  }
+
+  void Remove(const std::string& key) {
+    m_knowledge->Take({{key, "", Revision(++m_revision), true}}, m_now);
+  }
+
+  void PutConfig(const std::string& version) {
+    Put("op/config", R"({"Version":")" + version +
+                         R"(","Routes":{"Columns":[],"Rows":[]},
+                             "Services":{"Columns":[],"Rows":[]}})");
+  }
+
+  uint64_t Version() const { return m_front->Decisions().Table()->m_version; }
+};
+
+std::unique_ptr<KnowledgeFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<KnowledgeFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(StoreKnowledge, .init = SetUp, .fini = TearDown);
+
+// A configuration that was accepted never reverts, whatever is read later: an
+// older version, a damaged one, or none at all.
+Test(StoreKnowledge, Config_OlderOrDamagedOrRemoved_NewestStays) {
+  g_fixture->PutConfig("r7");
+  g_fixture->PutConfig("r5");
+  cr_assert_eq(g_fixture->Version(), 7);
+  g_fixture->Put("op/config", "{");
+  cr_assert_eq(g_fixture->Version(), 7);
+  g_fixture->Remove("op/config");
+  cr_assert_eq(g_fixture->Version(), 7);
+  g_fixture->PutConfig("r12");
+  cr_assert_eq(g_fixture->Version(), 12);
+}
+
+Test(StoreKnowledge, Server_DamagedEntry_IsLeftOut) {
+  g_fixture->Put("servers/i-1", R"({"Service":"s","Address":"1.2.3.4:80",
+                                    "Zone":"d1","Slots":2,"State":"ready"})");
+  g_fixture->Put("servers/i-2", R"({"Service":"s","Address":"nowhere",
+                                    "Zone":"d1"})");
+  cr_assert_eq(g_fixture->m_front->Decisions().ServerCount(), 1);
+  g_fixture->Remove("servers/i-1");
+  cr_assert_eq(g_fixture->m_front->Decisions().ServerCount(), 0);
+}
+
+Test(StoreKnowledge, OwnEntry_Removed_IsTold) {
+  const FleetMember own{"vm-1", "10.0.0.1:80", "d1", "r1"};
+  g_fixture->Put("fleet/vm-1", EncodeMember(own));
+  cr_assert_eq(g_fixture->m_knowledge->Fleet().size(), 1);
+  g_fixture->Remove("fleet/vm-1");
+  cr_assert_eq(g_fixture->m_own_removed, 1);
+  cr_assert(g_fixture->m_knowledge->Fleet().empty());
+}
+
+Test(StoreKnowledge, Evacuation_PutAndRemoved_IsFollowed) {
+  g_fixture->Put("op/evacuate/d1", "{}");
+  cr_assert(g_fixture->m_front->Decisions().Picker().IsEvacuated("d1"));
+  g_fixture->Remove("op/evacuate/d1");
+  cr_assert_not(g_fixture->m_front->Decisions().Picker().IsEvacuated("d1"));
+}
+
+}  // namespace
+}  // namespace sorrelplank::platform
