--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -25,6 +25,10 @@
 /// Work on an object for which a server is not warm, in usual latencies; by the
 /// deployments' measure of warm work.
 constexpr double kNotWarmFactor = 3.3;
+/// Part of a region's VMs that are taken to be cut off from the store at once.
+/// Servers may turn cold without their learning of it. They share the half of
+/// the bound that the one VM which sends to a cold server leaves.
+constexpr double kCutOffPart = 0.5;
 /// A VM that has just joined sees others late; until then it may take itself
 /// for the only one. Longer than the store's slowest watch.
 constexpr Duration kMemberBeforeCold = seconds(2);
@@ -116,9 +120,8 @@
   double free_time = 0;
   size_t considered = 0;
   for (ServerTrack* server : ranked) {
-    const bool may_send =
-        !server->IsCold(now) || (IsColdSender(*server, now) &&
-                                 server->HasColdRoom(ColdLimit(rules), now));
+    const auto rate_limit = RateLimit(*server, rules, now);
+    const bool may_send = !rate_limit || server->HasRateRoom(*rate_limit, now);
     if (!may_send) {
       continue;
     }
@@ -145,6 +148,27 @@
   return best;
 }
 
+std::optional<uint32_t> ServerPicker::RateLimit(const ServerTrack& server,
+                                                const ServiceRules& rules,
+                                                TimePoint now) const {
+  if (server.IsCold(now)) {
+    return IsColdSender(server, now) ? ColdLimit(rules) : 0;
+  }
+  if (m_is_cut_off && rules.m_cold_per_second > 0) {
+    return CutOffLimit(rules);
+  }
+  return std::nullopt;
+}
+
+uint32_t ServerPicker::CutOffLimit(const ServiceRules& rules) const {
+  const auto in_region = static_cast<double>(std::count_if(
+      m_fleet.begin(), m_fleet.end(), [this](const FleetMember& member) {
+        return member.m_region == m_settings.m_region;
+      }));
+  const double cut_off_vms = std::max(1.0, in_region * kCutOffPart);
+  return std::max(1U, static_cast<uint32_t>(ColdLimit(rules) / cut_off_vms));
+}
+
 uint32_t ServerPicker::ColdLimit(const ServiceRules& rules) const {
   const double bound = rules.m_cold_per_second * m_settings.m_cold_factor +
                        m_settings.m_cold_slack;
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -4,6 +4,7 @@
 #define SORRELPLANK_STEER_SERVER_PICKER_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -51,6 +52,9 @@
   void SetFleet(std::vector<FleetMember> fleet, TimePoint now);
   void SetEvacuated(std::set<std::string> domains);
 
+  /// Whether nothing new can be learned of servers at the moment.
+  void SetCutOff(bool is_cut_off) { m_is_cut_off = is_cut_off; }
+
   const std::vector<FleetMember>& Fleet() const { return m_fleet; }
   bool IsEvacuated(const std::string& domain) const;
 
@@ -62,8 +66,11 @@
               const PickNeed& need,
               TimePoint now) const;
 
-  /// Requests to a cold server that this VM may send in any second.
-  uint32_t ColdLimit(const ServiceRules& rules) const;
+  /// Requests that this VM may send to a server in any second; nothing where
+  /// there is no bound.
+  std::optional<uint32_t> RateLimit(const ServerTrack& server,
+                                    const ServiceRules& rules,
+                                    TimePoint now) const;
 
  private:
   using Ranked = std::vector<ServerTrack*>;
@@ -72,6 +79,8 @@
               const PickNeed& need,
               TimePoint now) const;
 
+  uint32_t ColdLimit(const ServiceRules& rules) const;
+  uint32_t CutOffLimit(const ServiceRules& rules) const;
   /// Whether this VM is the one that sends to a cold server.
   bool IsColdSender(const ServerTrack& server, TimePoint now) const;
 
@@ -79,6 +88,7 @@
   std::vector<FleetMember> m_fleet;
   TimePoint m_member_since = TimePoint::max();
   std::set<std::string> m_evacuated;
+  bool m_is_cut_off = false;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -200,12 +200,12 @@
   m_objects[object] = now;
 }
 
-bool ServerTrack::TryTakeCold(uint32_t most_per_second, TimePoint now) {
-  return m_cold_sends.TryTake(most_per_second, now);
+bool ServerTrack::TryTakeRate(uint32_t most_per_second, TimePoint now) {
+  return m_limited_sends.TryTake(most_per_second, now);
 }
 
-bool ServerTrack::HasColdRoom(uint32_t most_per_second, TimePoint now) {
-  return m_cold_sends.Count(now) < most_per_second;
+bool ServerTrack::HasRateRoom(uint32_t most_per_second, TimePoint now) {
+  return m_limited_sends.Count(now) < most_per_second;
 }
 
 }  // namespace sorrelplank
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -48,10 +48,10 @@
   bool IsCold(TimePoint now) const { return now < m_cold_until; }
   /// From now on it counts as cold for at least the given time.
   void MarkCold(Duration time, TimePoint now);
-  /// Counts one request to a cold server if the limit allows it.
-  bool TryTakeCold(uint32_t most_per_second, TimePoint now);
-  /// Requests that a cold server may still be sent in this second.
-  bool HasColdRoom(uint32_t most_per_second, TimePoint now);
+  /// Counts one request under a limit on the rate if it allows it.
+  bool TryTakeRate(uint32_t most_per_second, TimePoint now);
+  /// Whether the limit on the rate allows a request.
+  bool HasRateRoom(uint32_t most_per_second, TimePoint now);
 
   uint32_t InFlight() const { return m_own; }
   /// Consecutive sends that failed.
@@ -86,7 +86,7 @@
   TimePoint m_cold_until{};
   TimePoint m_last_end{};
   bool m_gone = false;
-  RateWindow m_cold_sends;
+  RateWindow m_limited_sends;
   std::unordered_map<uint64_t, TimePoint> m_objects;
 };
 
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -38,6 +38,9 @@
   void SetEvacuated(const std::set<std::string>& domains, TimePoint now);
   void SetFleet(std::vector<FleetMember> fleet, TimePoint now);
 
+  /// Whether nothing new can be learned of servers at the moment.
+  void SetCutOff(bool is_cut_off) { m_picker.SetCutOff(is_cut_off); }
+
   /// Replaces limits; the own place stays.
   void SetLimits(const SteeringSettings& settings);
 
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -107,8 +107,9 @@
   if (!request.m_tried.empty() && !MaySendAgain(request, now)) {
     return false;
   }
-  const uint32_t cold_limit = m_picker.ColdLimit(RulesOf(request.m_service));
-  if (server->IsCold(now) && !server->TryTakeCold(cold_limit, now)) {
+  const auto rate_limit =
+      m_picker.RateLimit(*server, RulesOf(request.m_service), now);
+  if (rate_limit && !server->TryTakeRate(*rate_limit, now)) {
     return false;
   }
   Send(request, server, now);
--- a/tests/steering_test.cc
+++ b/tests/steering_test.cc
@@ -302,6 +302,32 @@
   cr_assert_eq(g_fixture->Count<ForwardServerAnswer>(), 1);
 }
 
+// The VM is cut off from the store. A domain is evacuated and its servers turn
+// cold, which it cannot know; it goes on sending to them. Together with the VM
+// that sends to cold servers, and with others that are cut off, it must stay
+// under the bound of 11 in any second.
+Test(Steering, CutOff_ManyRequests_EachServerGetsAPartOfTheColdBound) {
+  g_fixture->m_steering.RemoveServer("b", g_fixture->m_now);
+  g_fixture->m_steering.SetFleet({{"vm-1", "10.0.0.1:80", "d1", "r1"},
+                                  {"vm-2", "10.0.0.2:80", "d1", "r1"},
+                                  {"vm-3", "10.0.0.3:80", "d2", "r1"},
+                                  {"vm-4", "10.0.0.4:80", "d2", "r1"}},
+                                 g_fixture->m_now);
+  g_fixture->m_steering.SetCutOff(true);
+  size_t sent = 0;
+  for (int step = 0; step < 50; ++step) {
+    const size_t before = g_fixture->Count<SendToServer>();
+    g_fixture->Arrive("/read/x", static_cast<uint64_t>(step));
+    if (g_fixture->Count<SendToServer>() > before) {
+      ++sent;
+      g_fixture->End(*g_fixture->Last<SendToServer>(), AttemptEnd::kAnswered);
+    }
+    g_fixture->m_now += milliseconds(20);
+  }
+  cr_assert_gt(sent, 0);
+  cr_assert_leq(sent, 2);
+}
+
 // A request waits for a slot while the operators take its route away. It is
 // answered by the new table, like one that arrives now.
 Test(Steering, Waiting_RouteRemoved_Is404) {
