--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -187,12 +187,12 @@
 }
 
 const ServiceRules& Steering::RulesOf(const std::string& service) const {
-  static const ServiceRules kNone;
+  static const ServiceRules unbounded;
   if (!m_table) {
-    return kNone;
+    return unbounded;
   }
   const auto it = m_table->m_services.find(service);
-  return it == m_table->m_services.end() ? kNone : it->second;
+  return it == m_table->m_services.end() ? unbounded : it->second;
 }
 
 bool Steering::Route(SteeredRequest& request) {
@@ -217,6 +217,10 @@
   for (const BackendShare& share : shares) {
     weights.push_back(share.m_weight);
   }
+  if (std::all_of(weights.begin(), weights.end(),
+                  [](double weight) { return weight <= 0; })) {
+    std::fill(weights.begin(), weights.end(), 1);
+  }
   request.m_service = shares[m_splits[route->m_name].Next(weights)].m_service;
   return true;
 }
--- a/tests/steering_test.cc
+++ b/tests/steering_test.cc
@@ -133,6 +133,15 @@
   cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kNoRoute);
 }
 
+// All parts of a split weigh nothing. The request is served all the same.
+Test(Steering, Split_AllWeightsZero_IsDealtEvenly) {
+  RouteRule route = MakeRoute("/read/", true);
+  route.m_shares = {{"s", 0}, {"s", 0}};
+  g_fixture->Install(2, {route});
+  g_fixture->Arrive("/read/x");
+  cr_assert_eq(g_fixture->Count<SendToServer>(), 1);
+}
+
 Test(Steering, SameObject_FreeSlots_GoesToTheSameServer) {
   g_fixture->Arrive("/read/x", 5);
   const std::string first = g_fixture->Last<SendToServer>()->m_instance;
