Break a failure domain's circuit where its servers refuse connections

Ruled out: a longer rest of single servers; a VM meets one server every 2.5 s. Change: four servers out of reach with none reached open a breaker over their domain, with one request as a trial each interval; a region without slots within reach (breaker open, or cold and left to another VM) is left at once. The breaker stands; what binds is that overload is not seen: each VM learns a server's load every 2.5 s and forgets it after 250 ms, so lines of 18 form at servers.

--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -105,17 +105,27 @@
 }
 
 size_t RegionShares::RegionOf(uint64_t object, Mask allowed) const {
+  const size_t region =
+      BestRegion(object, allowed, &RegionLoad::m_slots_within_reach);
+  return region < m_shares.size()
+             ? region
+             : BestRegion(object, allowed, &RegionLoad::m_slots);
+}
+
+size_t RegionShares::BestRegion(uint64_t object,
+                                Mask allowed,
+                                double RegionLoad::*slots) const {
   size_t best = m_shares.size();
   double best_score = 0;
   for (size_t region = 0; region < m_shares.size(); ++region) {
     const bool is_allowed = ((allowed >> region) & 1U) != 0;
-    if (!is_allowed || m_loads[region].m_slots <= 0) {
+    const double usable = m_loads[region].*slots;
+    if (!is_allowed || usable <= 0) {
       continue;
     }
     // A region without a share is only taken where no other one is left.
-    const double weight = m_shares[region] > 0
-                              ? m_shares[region]
-                              : kNoShare * m_loads[region].m_slots;
+    const double weight =
+        m_shares[region] > 0 ? m_shares[region] : kNoShare * usable;
     const double score = -weight / std::log(UnitHash(object, region));
     if (best == m_shares.size() || score > best_score) {
       best = region;
--- a/src/steer/region_shares.h
+++ b/src/steer/region_shares.h
@@ -15,6 +15,8 @@
 struct RegionLoad {
   /// Slots of the backend servers that may be sent to.
   double m_slots = 0;
+  /// Of these, the slots that requests from here can reach now.
+  double m_slots_within_reach = 0;
   /// Requests under way and waiting per slot, of all entry VMs.
   double m_utilisation = 0;
   /// Whether any of its servers has told its load lately.
@@ -28,7 +30,8 @@
 /// move a large part of a region's requests at once, and spread every object
 /// over servers that are not warm for it. Here whole objects move, by highest
 /// random weight over the regions' shares, and the shares move at a bounded
-/// rate; only the loss of all servers of a region moves everything at once.
+/// rate; only where no server of a region can be reached everything moves at
+/// once.
 class RegionShares {
  public:
   /// Bit r set: region r may run the request.
@@ -46,12 +49,15 @@
   void Start() { m_has_started = true; }
 
   /// The region of an object; the number of regions where none of the allowed
-  /// ones has a server.
+  /// ones has a server. A region out of reach is taken only where all are.
   size_t RegionOf(uint64_t object, Mask allowed) const;
 
   double Share(size_t region) const { return m_shares[region]; }
 
  private:
+  size_t BestRegion(uint64_t object,
+                    Mask allowed,
+                    double RegionLoad::*slots) const;
   void MoveBetween(size_t from, size_t to, double part);
   void SetByCapacity();
 
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -79,6 +79,20 @@
          !IsEvacuated(entry.m_failure_domain);
 }
 
+bool ServerPicker::IsBreakerOpen(const std::string& domain,
+                                 TimePoint now) const {
+  const auto it = m_breakers.find(domain);
+  return it != m_breakers.end() && it->second.IsOpen(now);
+}
+
+bool ServerPicker::IsWithinReach(const ServerTrack& server,
+                                 const ServiceRules& rules,
+                                 TimePoint now) const {
+  return IsUsable(server) &&
+         !IsBreakerOpen(server.Entry().m_failure_domain, now) &&
+         RateLimit(server, rules, now) != 0U;
+}
+
 ServerPicker::Ranked ServerPicker::Rank(
     const std::vector<ServerTrack*>& servers,
     const PickNeed& need,
@@ -94,9 +108,11 @@
     const double load = need.m_keeps_objects_together
                             ? 0
                             : server->Occupancy(now) / entry.m_slots;
+    const bool is_resting = server->IsResting(now, need.m_usual) ||
+                            IsBreakerOpen(entry.m_failure_domain, now);
     // Resting servers come last instead of dropping out: where all rest, the
     // cause is likely not theirs, and refusing everything would be worse.
-    places.emplace_back(server->IsResting(now, need.m_usual), load,
+    places.emplace_back(is_resting, load,
                         ~Weight(need.m_object, entry.m_instance), server);
   }
   std::sort(places.begin(), places.end());
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -4,12 +4,14 @@
 #define SORRELPLANK_STEER_SERVER_PICKER_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "core/time_type.h"
+#include "steer/domain_breaker.h"
 #include "steer/fleet_member_type.h"
 #include "steer/steering_settings_type.h"
 #include "steer/usual_service_type.h"
@@ -61,6 +63,17 @@
   /// Whether requests may be sent to the server at all.
   bool IsUsable(const ServerTrack& server) const;
 
+  /// Whether this VM can expect to have requests taken by the server now: its
+  /// failure domain is within reach, and a cold one is not left to another VM.
+  bool IsWithinReach(const ServerTrack& server,
+                     const ServiceRules& rules,
+                     TimePoint now) const;
+
+  /// The breaker of a failure domain.
+  DomainBreaker& Breaker(const std::string& domain) {
+    return m_breakers[domain];
+  }
+
   Choice Pick(const std::vector<ServerTrack*>& servers,
               const ServiceRules& rules,
               const PickNeed& need,
@@ -84,7 +97,10 @@
   /// Whether this VM is the one that sends to a cold server.
   bool IsColdSender(const ServerTrack& server, TimePoint now) const;
 
+  bool IsBreakerOpen(const std::string& domain, TimePoint now) const;
+
   const SteeringSettings& m_settings;
+  std::map<std::string, DomainBreaker> m_breakers;
   std::vector<FleetMember> m_fleet;
   TimePoint m_member_since = TimePoint::max();
   std::set<std::string> m_evacuated;
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -82,6 +82,7 @@
 }
 
 void SteeredService::UpdateShares(const ServerPicker& picker,
+                                  const ServiceRules& rules,
                                   double most_shift_per_second,
                                   TimePoint now) {
   std::vector<RegionLoad> loads(m_by_region.size());
@@ -93,6 +94,9 @@
         continue;
       }
       loads[region].m_slots += server->Entry().m_slots;
+      if (picker.IsWithinReach(*server, rules, now)) {
+        loads[region].m_slots_within_reach += server->Entry().m_slots;
+      }
       const auto recent = server->RecentLoad(now);
       if (recent) {
         told_slots += server->Entry().m_slots;
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -21,6 +21,7 @@
 namespace sorrelplank {
 
 class ServerPicker;
+struct ServiceRules;
 
 /// Servers, waiting requests and rates of one service.
 class SteeredService {
@@ -42,6 +43,7 @@
 
   /// Measures the load of each region and moves the split.
   void UpdateShares(const ServerPicker& picker,
+                    const ServiceRules& rules,
                     double most_shift_per_second,
                     TimePoint now);
 
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -281,7 +281,8 @@
 
 void Steering::UpdateShares(TimePoint now) {
   for (auto& [name, service] : m_services) {
-    service->UpdateShares(m_picker, m_settings.m_most_shift * kShiftPart, now);
+    service->UpdateShares(m_picker, RulesOf(name),
+                          m_settings.m_most_shift * kShiftPart, now);
     const auto share = service->ShareToTell();
     if (share) {
       m_sink(BeliefChanged{"own_region_share", name, *share});
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -105,6 +105,8 @@
   void CountEnd(ServerTrack& server,
                 const AttemptReport& report,
                 TimePoint now);
+  /// Notes whether the server's failure domain is within reach.
+  void CountReach(const ServerTrack& server, AttemptEnd end, TimePoint now);
   void UpdateShares(TimePoint now);
 
   SteeringSettings m_settings;
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -134,6 +134,9 @@
   const AttemptId attempt(m_next_attempt++);
   const ServerEntry& entry = server->Entry();
   server->CountSend(now);
+  if (m_picker.Breaker(entry.m_failure_domain).CountSend(now)) {
+    UpdateShares(now);
+  }
   server->MarkWarmFor(request.m_facts.m_object, now);
   request.m_resend_paid = false;
   request.m_live.push_back({attempt, m_servers.at(entry.m_instance), now});
@@ -313,6 +316,25 @@
     m_sink(BeliefChanged{"server_recovered", instance,
                          static_cast<double>(failures)});
   }
+  CountReach(server, report.m_end, now);
+}
+
+void Steering::CountReach(const ServerTrack& server,
+                          AttemptEnd end,
+                          TimePoint now) {
+  const std::string& domain = server.Entry().m_failure_domain;
+  DomainBreaker& breaker = m_picker.Breaker(domain);
+  if (end == AttemptEnd::kNotSent) {
+    if (breaker.CountUnreached(server.Entry().m_instance, now)) {
+      m_sink(BeliefChanged{"domain_out_of_reach", domain, 0});
+      UpdateShares(now);
+    }
+    return;
+  }
+  // A send that is lost may have been written into a link that is cut.
+  if (end != AttemptEnd::kLost && breaker.CountReached()) {
+    m_sink(BeliefChanged{"domain_within_reach", domain, 0});
+  }
 }
 
 void Steering::Forget(RequestId id) {
--- a/tests/region_shares_test.cc
+++ b/tests/region_shares_test.cc
@@ -20,7 +20,7 @@
 
 /// The own region has a sixth of the slots, the last one a half.
 std::vector<RegionLoad> Loads(double own, double second, double third) {
-  return {{10, own}, {20, second}, {30, third}};
+  return {{10, 10, own}, {20, 20, second}, {30, 30, third}};
 }
 
 /// A split that has begun to serve.
@@ -71,7 +71,8 @@
 // many seconds.
 Test(RegionShares, NotStarted_MoreServersRegister_SplitFollows) {
   RegionShares shares(kRegions, kOwn);
-  shares.Update({{0, 0}, {5, 0}, {0, 0}}, kPerSecond, TimePoint(seconds(1)));
+  shares.Update({{0, 0, 0}, {5, 5, 0}, {0, 0, 0}}, kPerSecond,
+                TimePoint(seconds(1)));
   shares.Update(Loads(0, 0, 0), kPerSecond, TimePoint(seconds(2)));
   cr_assert_float_eq(shares.Share(0), 0.5, 0.01);
 }
@@ -97,11 +98,30 @@
 }
 
 Test(RegionShares, OwnServersGone_AnyLoad_AllGoElsewhere) {
-  g_fixture->Run({{0, 0}, {20, 0.5}, {30, 0.5}}, milliseconds(100));
+  g_fixture->Run({{0, 0, 0}, {20, 20, 0.5}, {30, 30, 0.5}}, milliseconds(100));
   const auto regions = g_fixture->RegionsOfObjects();
   cr_assert_eq(std::count(regions.begin(), regions.end(), kOwn), 0);
 }
 
+// Every server of the own region refuses connections, or is cold and left to
+// another entry VM. All objects go elsewhere at once, and come back with it.
+Test(RegionShares, OwnServersOutOfReach_AnyLoad_AllGoElsewhere) {
+  const auto before = g_fixture->RegionsOfObjects();
+  g_fixture->Run({{10, 0, 1}, {20, 20, 1}, {30, 30, 1}}, milliseconds(100));
+  const auto away = g_fixture->RegionsOfObjects();
+  cr_assert_eq(std::count(away.begin(), away.end(), kOwn), 0);
+  g_fixture->Run(Loads(1, 1, 1), milliseconds(100));
+  cr_assert(before == g_fixture->RegionsOfObjects());
+}
+
+// No region can be reached: this VM itself is cut off, or everything has just
+// started. Its own region is tried as before, instead of none.
+Test(RegionShares, AllOutOfReach_Request_StaysInTheSplit) {
+  const auto before = g_fixture->RegionsOfObjects();
+  g_fixture->Run({{10, 0, 1}, {20, 0, 1}, {30, 0, 1}}, milliseconds(100));
+  cr_assert(before == g_fixture->RegionsOfObjects());
+}
+
 // Requests with home regions are only run there, also where the split has no
 // share for those.
 Test(RegionShares, HomeElsewhere_NoShareThere_RunsAtHome) {
@@ -109,7 +129,7 @@
 }
 
 Test(RegionShares, HomeWithoutServers_Elsewhere_IsNoRegion) {
-  g_fixture->Run({{10, 0}, {0, 0}, {30, 0}}, milliseconds(100));
+  g_fixture->Run({{10, 10, 0}, {0, 0, 0}, {30, 30, 0}}, milliseconds(100));
   cr_assert_eq(g_fixture->m_shares.RegionOf(7, 0b010), kRegions);
 }
 
