Take an object's first server as warm

Cause: a VM took a server as warm for an object only after a request of its own. Ruled out: that servers warm up only when a first request has ended; requests sent while the first one still ran took 302 ms (median) against 986 for the first. Change: the first server of an object's order counts as warm.

--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -148,8 +148,13 @@
     const double surplus =
         server->Occupancy(now) + server->Waiting() + 1 - limit;
     const double wait = std::max(0.0, surplus) / std::max(1.0, limit);
-    const bool is_warm =
-        !need.m_keeps_objects_together || server->IsWarmFor(need.m_object, now);
+    // All entry VMs put an object's first server first, so that one is warm by
+    // their requests, which this VM does not see. Taken as not warm, it lost
+    // the object to the second server over any wait. Value of the answers to
+    // their callers under overload, of the most possible: 0.714 before, 0.731
+    // after.
+    const bool is_warm = !need.m_keeps_objects_together || considered == 1 ||
+                         server->IsWarmFor(need.m_object, now);
     const double time = wait + (is_warm ? 1 : kNotWarmFactor);
     if (best.m_first == nullptr || time < first_time) {
       best.m_first = server;
--- a/tests/steering_test.cc
+++ b/tests/steering_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
 #include <memory>
 #include <set>
 
@@ -45,6 +46,24 @@
                    first.c_str());
 }
 
+// Requests on other objects fill a server. One on an object that this VM has
+// not met yet arrives: other VMs have, at that same server, which is warm for
+// it. A short wait there beats 3.3 times the work at the other one.
+Test(Steering, NewObject_FirstServerBusy_WaitsForIt) {
+  uint64_t object = 0;
+  while (g_fixture->m_steering.WaitingCount() == 0 && object < 20) {
+    g_fixture->Arrive("/read/x", ++object);
+  }
+  std::map<std::string, int> sends;
+  for (const SteerAction& action : g_fixture->m_actions) {
+    if (const auto* send = std::get_if<SendToServer>(&action)) {
+      ++sends[send->m_instance];
+    }
+  }
+  cr_assert_eq(sends.size(), 2);
+  cr_assert(sends["a"] < 2 || sends["b"] < 2, "the other one has a free slot");
+}
+
 // The server takes a request that must run at most once, and the connection
 // breaks. The caller is told that it may have run; it is not sent again.
 Test(Steering, Write_ConnectionBroke_IsNotSentAgain) {
