Hold requests while the store is read for the first time

Ruled out: a shorter time to come back; the retry is a connection more and would meet the same VM state. Change: requests that arrive during the first read are held, for a second at most; if the store fails meanwhile they are refused at once.

--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -14,6 +14,10 @@
 
 /// How often loads of regions are measured.
 constexpr Duration kSharesInterval = milliseconds(100);
+/// Longest time that a request is held while the table and the servers are read
+/// for the first time. Across regions, with all VMs starting at once, that took
+/// up to 0.7 s.
+constexpr Duration kMostHeld = seconds(1);
 /// Part of the allowed shift that is used. The bound is on two adjacent windows
 /// of 2 s, so a steady move of x a second shows as 2 x; the rest is left for
 /// the unevenness of what the windows catch.
@@ -230,6 +234,15 @@
   SteeredRequest& request = m_requests[id];
   request.m_facts = std::move(facts);
   request.m_arrived = now;
+  if (!m_table && m_is_loading) {
+    // Refused, the client would use up one of its few retries and be late by
+    // the time to come back; the table is there sooner than it would be back.
+    request.m_is_held = true;
+    request.m_finish_by =
+        now + std::min<Duration>(request.m_facts.m_time_left, kMostHeld);
+    m_held.push_back(id);
+    return;
+  }
   if (!m_table) {
     Refuse(request, SteerRefusal::kNotReady, now);
     return;
@@ -241,13 +254,38 @@
     Refuse(request, SteerRefusal::kStopping, now);
     return;
   }
+  Admit(request, now);
+}
+
+void Steering::SetLoading(bool is_loading, TimePoint now) {
+  m_is_loading = is_loading;
+  if (is_loading || m_held.empty()) {
+    return;
+  }
+  // The split over regions must be set by the servers before the first request
+  // starts it; begun with all requests at home, it took ten seconds to move.
+  UpdateShares(now);
+  std::list<RequestId> held;
+  held.swap(m_held);
+  for (const RequestId id : held) {
+    SteeredRequest& request = m_requests.at(id);
+    request.m_is_held = false;
+    if (m_table) {
+      Admit(request, now);
+    } else {
+      Refuse(request, SteerRefusal::kNotReady, now);
+    }
+  }
+}
+
+void Steering::Admit(SteeredRequest& request, TimePoint now) {
   if (!Route(request)) {
     Refuse(request, SteerRefusal::kNoRoute, now);
     return;
   }
   const Duration time =
       std::min(request.m_facts.m_time_left, request.m_route->m_timeout);
-  request.m_finish_by = now + time;
+  request.m_finish_by = request.m_arrived + time;
   SteeredService& service = Service(request.m_service);
   service.Retries().CountRequest(now);
   service.Shares().Start();
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -4,6 +4,7 @@
 #define SORRELPLANK_STEER_STEERING_H_
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -48,6 +49,10 @@
   /// routes with homes; empty: all.
   std::vector<std::string> HomesOf(const std::string& host) const;
 
+  /// Whether routing table and servers are being read for the first time.
+  /// Requests that arrive meanwhile are held until that ends.
+  void SetLoading(bool is_loading, TimePoint now);
+
   /// From now on new requests are refused; those under way are finished.
   void RefuseNew() { m_refuses_new = true; }
 
@@ -76,6 +81,8 @@
   RegionShares::Mask MaskOf(const RouteRule& route) const;
   const ServiceRules& RulesOf(const std::string& service) const;
 
+  /// Starts a request on the table in force.
+  void Admit(SteeredRequest& request, TimePoint now);
   /// Sets route and service by the table in force; false without a route.
   bool Route(SteeredRequest& request);
   Choice Choose(const SteeredRequest& request, TimePoint now);
@@ -122,6 +129,9 @@
   RequestMap m_requests;
   uint64_t m_next_attempt = 1;
   bool m_refuses_new = false;
+  bool m_is_loading = false;
+  /// Requests held while loading, in the order of arrival.
+  std::list<RequestId> m_held;
   TimePoint m_shares_updated{};
 };
 
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -230,6 +230,12 @@
 }
 
 void Steering::CheckTime(SteeredRequest& request, TimePoint now) {
+  if (request.m_is_held) {
+    if (now >= request.m_finish_by) {
+      Refuse(request, SteerRefusal::kNotReady, now);
+    }
+    return;
+  }
   if (now >= request.m_finish_by) {
     const bool runs = !request.m_live.empty();
     CancelLive(request, true, now);
@@ -343,6 +349,9 @@
     Service(it->second.m_service).Waiting().remove(id);
     StopWaiting(it->second);
   }
+  if (it->second.m_is_held) {
+    m_held.remove(id);
+  }
   m_requests.erase(it);
 }
 
--- /dev/null
+++ b/tests/steering_loading_test.cc
@@ -0,0 +1,121 @@
+/// @file steering_loading_test.cc Requests that arrive before the routing
+/// table.
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+#include "tests/steering_fixture.h"
+
+namespace sorrelplank {
+namespace {
+
+/// A VM that has just started.
+struct LoadingFixture {
+  TimePoint m_now{seconds(100)};
+  std::vector<SteerAction> m_actions;
+  Steering m_steering;
+
+  LoadingFixture()
+      : m_steering(MakeSettings(), [this](const SteerAction& action) {
+          m_actions.push_back(action);
+        }) {
+    m_steering.SetLoading(true, m_now);
+  }
+
+  void Load() {
+    auto table = std::make_shared<RoutingTable>();
+    table->m_version = 1;
+    table->m_routes = {MakeRoute("/read/", true)};
+    m_steering.Install(table, m_now);
+    m_steering.PutServer({"a", "s", {1, 80}, "d1", 2, false, {}}, m_now);
+    m_steering.SetLoading(false, m_now);
+  }
+
+  void Arrive(uint64_t id, const std::string& path) {
+    m_steering.Arrived({RequestId(id), "h", path, 1, seconds(5)}, m_now);
+  }
+
+  SteerRefusal Reason(size_t at) const {
+    return std::get<RefuseRequest>(m_actions.at(at)).m_reason;
+  }
+};
+
+std::unique_ptr<LoadingFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<LoadingFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(SteeringLoading, .init = SetUp, .fini = TearDown);
+
+// All entry VMs lost power and start again. Clients connect as soon as a VM
+// listens, some tenths of a second before it has read the store. They see an
+// answer of a server instead of a refusal, and keep their retry.
+Test(SteeringLoading, Request_TableComesSoon_IsSent) {
+  g_fixture->Arrive(1, "/read/x");
+  cr_assert_eq(g_fixture->m_actions.size(), 0);
+  g_fixture->m_now += milliseconds(500);
+  g_fixture->Load();
+  const auto& send = std::get<SendToServer>(g_fixture->m_actions.at(0));
+  cr_assert_eq(send.m_time_left, Duration(milliseconds(1500)));
+}
+
+// The own region has one server of ten. Held requests begin the split over
+// regions; it must be that of the servers, not all at home.
+Test(SteeringLoading, Requests_FewServersAtHome_AreSpreadByCapacity) {
+  for (uint64_t id = 1; id <= 20; ++id) {
+    g_fixture->m_steering.Arrived(
+        {RequestId(id), "h", "/read/x", id, seconds(5)}, g_fixture->m_now);
+  }
+  for (int server = 0; server < 9; ++server) {
+    g_fixture->m_steering.PutServer(
+        {"far" + std::to_string(server), "s", {1, 80}, "d3", 2, false, {}},
+        g_fixture->m_now);
+  }
+  g_fixture->Load();
+  size_t far = 0;
+  for (const SteerAction& action : g_fixture->m_actions) {
+    const auto* send = std::get_if<SendToServer>(&action);
+    far += send != nullptr && send->m_instance.starts_with("far") ? 1 : 0;
+  }
+  cr_assert_geq(far, 8, "%zu", far);
+}
+
+// The store does not answer the VM's first call. Nobody knows for how long, so
+// those who wait are told at once that nothing ran.
+Test(SteeringLoading, Store_GoesAway_HeldAreRefusedAsNotRun) {
+  g_fixture->Arrive(1, "/read/x");
+  g_fixture->m_steering.SetLoading(false, g_fixture->m_now);
+  cr_assert_eq(g_fixture->Reason(0), SteerRefusal::kNotReady);
+  g_fixture->Arrive(2, "/read/x");
+  cr_assert_eq(g_fixture->Reason(1), SteerRefusal::kNotReady);
+}
+
+// The first read neither ends nor fails.
+Test(SteeringLoading, Table_DoesNotCome_IsRefusedWithinASecond) {
+  g_fixture->Arrive(1, "/read/x");
+  g_fixture->m_now += milliseconds(1000);
+  g_fixture->m_steering.Tick(g_fixture->m_now);
+  cr_assert_eq(g_fixture->Reason(0), SteerRefusal::kNotReady);
+}
+
+Test(SteeringLoading, Client_LeavesMeanwhile_NothingIsSent) {
+  g_fixture->Arrive(1, "/read/x");
+  g_fixture->m_steering.ClientLeft(RequestId(1), g_fixture->m_now);
+  g_fixture->Load();
+  cr_assert_eq(g_fixture->m_actions.size(), 0);
+}
+
+Test(SteeringLoading, Table_LacksTheRoute_Is404) {
+  g_fixture->Arrive(1, "/other/");
+  g_fixture->Load();
+  cr_assert_eq(g_fixture->Reason(0), SteerRefusal::kNoRoute);
+}
+
+}  // namespace
+}  // namespace sorrelplank
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -122,7 +122,7 @@
 
 Test(StoreWatch, Change_AfterStart_IsSeen) {
   g_fixture->m_watch->Start();
-  g_fixture->RunUntil([] { return g_fixture->m_watch->IsLoaded(); });
+  g_fixture->RunUntil([] { return !g_fixture->m_watch->IsLoading(); });
   g_fixture->Put("op/config", "new");
   g_fixture->RunUntil([] { return g_fixture->Sees("op/config", "new"); });
 }
