--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,10 @@
 BENCH ?= all
 # One failure run by name, short or all.
 CASE ?= all
+# The soak's first seed, number of seeds, and options such as --timed.
+SEED ?= 1
+RUNS ?= 50
+SOAK_FLAGS ?=
 JOBS ?= $(shell nproc)
 
 PACKAGES = g++ cmake ninja-build pkg-config ccache clang-format clang-tidy \
@@ -12,7 +16,7 @@
   libtclap-dev libgoogle-glog-dev libcurl4-openssl-dev nlohmann-json3-dev \
   libcriterion-dev libxxhash-dev
 
-.PHONY: install build test wire-names unit demo bench prove format lint check-examples clean
+.PHONY: install build test wire-names unit demo bench prove soak format lint check-examples clean
 
 install:
 	@scripts/install_packages.sh $(PACKAGES)
@@ -35,8 +39,11 @@
 prove: build
 	@$(BUILD)/prove $(CASE)
 
+soak: build
+	@$(BUILD)/soak --program $(BUILD)/sorrelplank --seed $(SEED) --runs $(RUNS) $(SOAK_FLAGS)
+
 format:
-	@git ls-files 'src/*.h' 'src/*.cc' 'platform/*' 'standin/*' 'tests/*' 'trial/*' 'bench/*' | grep -E '\.(h|cc)$$' | grep -v '\.pb\.' | xargs clang-format --dry-run --Werror
+	@git ls-files 'src/*.h' 'src/*.cc' 'platform/*' 'standin/*' 'tests/*' 'trial/*' 'bench/*' 'soak/*' | grep -E '\.(h|cc)$$' | grep -v '\.pb\.' | xargs clang-format --dry-run --Werror
 
 lint:
 	@scripts/lint.sh $(BUILD) $(JOBS)
--- /dev/null
+++ b/soak/fault_proxy.cc
@@ -0,0 +1,42 @@
+/// @file fault_proxy.cc Accepting connections.
+
+#include "soak/fault_proxy.h"
+
+#include <utility>
+
+#include "soak/proxy_link.h"
+
+namespace sorrelplank::soak {
+
+FaultProxy::FaultProxy(asio::io_context& io, const ProxyEnds& ends)
+    : m_io(io), m_ends(ends), m_acceptor(io, ends.m_listen) {
+  Accept();
+}
+
+FaultProxy::~FaultProxy() {
+  std::error_code ignored;
+  m_acceptor.close(ignored);
+  ResetAll();
+}
+
+void FaultProxy::ResetAll() {
+  const auto links = m_links;
+  for (const auto& link : links) {
+    link->Reset();
+  }
+}
+
+void FaultProxy::Accept() {
+  m_acceptor.async_accept(
+      [this](std::error_code error, asio::ip::tcp::socket socket) {
+        if (error) {
+          return;
+        }
+        auto link = std::make_shared<ProxyLink>(*this, std::move(socket));
+        m_links.insert(link);
+        link->Start();
+        Accept();
+      });
+}
+
+}  // namespace sorrelplank::soak
--- /dev/null
+++ b/soak/soak_caller.cc
@@ -0,0 +1,199 @@
+/// @file soak_caller.cc Sending and strict reading.
+
+#include "soak/soak_caller.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "platform/wire_names.h"
+#include "soak/ledger.h"
+
+namespace sorrelplank::soak {
+
+namespace {
+
+/// Pause between two requests of a caller, up to twice as long.
+constexpr int kPauseMs = 15;
+/// How long a caller waits, which it also tells.
+constexpr Duration kPatience = seconds(3);
+/// Then it closes its connection, a little later.
+constexpr Duration kPatienceSlack = milliseconds(500);
+/// Objects that requests are on.
+constexpr int kObjects = 40;
+
+}  // namespace
+
+SoakCaller::SoakCaller(asio::io_context& io,
+                       Ledger& ledger,
+                       std::string name,
+                       TargetPicker pick,
+                       CutHandler on_cut)
+    : m_io(io),
+      m_ledger(ledger),
+      m_name(std::move(name)),
+      m_pick(std::move(pick)),
+      m_on_cut(std::move(on_cut)),
+      m_socket(io),
+      m_timer(io),
+      m_limit(io),
+      m_random(static_cast<unsigned>(std::hash<std::string>()(m_name))) {}
+
+void SoakCaller::Next() {
+  if (m_is_stopped) {
+    return;
+  }
+  m_id = m_name + "-" + std::to_string(++m_count);
+  if (m_is_open) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void SoakCaller::Connect() {
+  m_target = m_pick();
+  m_socket.async_connect(
+      m_target.m_address, [self = shared_from_this()](std::error_code error) {
+        if (!error) {
+          self->m_is_open = true;
+          self->Send();
+          return;
+        }
+        self->Close();
+        CallerRequest request;
+        request.m_vm = self->m_target.m_vm;
+        self->m_ledger.Sent(self->m_id, std::move(request));
+        self->m_ledger.Ended(self->m_id, CallerEnd::kNotAccepted);
+        self->PauseThenNext();
+      });
+}
+
+void SoakCaller::Send() {
+  const ProxyNames names = platform::HeaderNames();
+  const bool is_read = m_random() % 2 == 0;
+  const std::string path = is_read ? "/read/" + m_id : "/write/" + m_id;
+  const std::string body = is_read ? "" : "body of " + m_id;
+  m_ledger.Sent(m_id, {.m_vm = m_target.m_vm,
+                       .m_path = path,
+                       .m_body = body,
+                       .m_idempotent = is_read});
+  m_bytes = fmt::format(
+      "{} {} HTTP/1.1\r\nHost: soak.example\r\n{}: {}\r\n{}: {}\r\n{}: "
+      "{}\r\nContent-Length: {}\r\n\r\n{}",
+      is_read ? "GET" : "POST", path, names.m_request_id, m_id,
+      names.m_deadline_ms, kPatience / milliseconds(1), names.m_object,
+      m_random() % kObjects, body.size(), body);
+  http_parser_init(&m_parser, HTTP_RESPONSE);
+  m_parser.data = this;
+  m_is_complete = false;
+  m_response = HttpResponse();
+  m_limit.expires_after(kPatience + kPatienceSlack);
+  m_limit.async_wait([self = shared_from_this()](std::error_code error) {
+    if (!error) {
+      self->OnEnd(false);
+    }
+  });
+  asio::async_write(m_socket, asio::buffer(m_bytes),
+                    [self = shared_from_this()](std::error_code, size_t) {});
+  Read();
+}
+
+void SoakCaller::Read() {
+  m_socket.async_read_some(asio::buffer(m_buffer),
+                           [self = shared_from_this(), id = m_id](
+                               std::error_code error, size_t bytes) {
+                             if (self->m_id != id) {
+                               return;
+                             }
+                             if (error) {
+                               self->OnEnd(error == asio::error::eof);
+                               return;
+                             }
+                             self->OnBytes(bytes);
+                           });
+}
+
+void SoakCaller::OnBytes(size_t bytes) {
+  static const http_parser_settings parser_settings = [] {
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_header_field = &SoakCaller::OnField;
+    settings.on_header_value = &SoakCaller::OnValue;
+    settings.on_body = &SoakCaller::OnBody;
+    settings.on_message_complete = &SoakCaller::OnComplete;
+    return settings;
+  }();
+  const size_t parsed =
+      http_parser_execute(&m_parser, &parser_settings, m_buffer.data(), bytes);
+  if (parsed < bytes) {
+    m_ledger.Breach("own answer", m_id, "got bytes that are no answer to it");
+    OnEnd(false);
+  } else if (m_is_complete) {
+    OnAnswer();
+  } else {
+    Read();
+  }
+}
+
+void SoakCaller::OnAnswer() {
+  m_limit.cancel();
+  const ProxyNames names = platform::HeaderNames();
+  const std::string* id = FindField(m_response.m_headers, names.m_request_id);
+  m_ledger.Answered(m_id, {.m_status = static_cast<int>(m_parser.status_code),
+                           .m_has_stamp = FindField(m_response.m_headers,
+                                                    names.m_stamp) != nullptr,
+                           .m_request_id = id == nullptr ? "" : *id,
+                           .m_body = m_response.m_body});
+  if (http_should_keep_alive(&m_parser) == 0) {
+    Close();
+  }
+  PauseThenNext();
+}
+
+void SoakCaller::OnEnd(bool is_clean) {
+  m_limit.cancel();
+  static_cast<void>(is_clean);
+  Close();
+  m_on_cut(m_id);
+  m_ledger.Ended(m_id, CallerEnd::kCut);
+  PauseThenNext();
+}
+
+void SoakCaller::Close() {
+  std::error_code ignored;
+  m_socket.close(ignored);
+  m_is_open = false;
+}
+
+void SoakCaller::PauseThenNext() {
+  m_id.clear();
+  std::uniform_int_distribution<int> spread(kPauseMs, 2 * kPauseMs);
+  m_timer.expires_after(milliseconds(spread(m_random)));
+  m_timer.async_wait(
+      [self = shared_from_this()](std::error_code) { self->Next(); });
+}
+
+int SoakCaller::OnField(http_parser* parser, const char* at, size_t length) {
+  auto* self = static_cast<SoakCaller*>(parser->data);
+  self->m_response.m_headers.emplace_back(ToLower(std::string(at, length)), "");
+  return 0;
+}
+
+int SoakCaller::OnValue(http_parser* parser, const char* at, size_t length) {
+  auto* self = static_cast<SoakCaller*>(parser->data);
+  self->m_response.m_headers.back().second.append(at, length);
+  return 0;
+}
+
+int SoakCaller::OnBody(http_parser* parser, const char* at, size_t length) {
+  static_cast<SoakCaller*>(parser->data)->m_response.m_body.append(at, length);
+  return 0;
+}
+
+int SoakCaller::OnComplete(http_parser* parser) {
+  static_cast<SoakCaller*>(parser->data)->m_is_complete = true;
+  return 0;
+}
+
+}  // namespace sorrelplank::soak
--- /dev/null
+++ b/soak/soak_faults.cc
@@ -0,0 +1,228 @@
+/// @file soak_faults.cc Planned work and faults of the world.
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "platform/wire_names.h"
+#include "serve/clock_func.h"
+#include "soak/soak_world.h"
+
+namespace sorrelplank::soak {
+
+namespace {
+
+/// A time between two bounds.
+Duration Draw(SoakWorld::Random& random, Duration least, Duration most) {
+  std::uniform_int_distribution<int64_t> spread(least.count(), most.count());
+  return Duration(spread(random));
+}
+
+/// A server that leaves serves this long after the store took its word.
+constexpr Duration kLeavingServes = seconds(4);
+/// Entries of servers that crashed are gone after three missed heartbeats.
+constexpr Duration kEntryLapses = milliseconds(4500);
+
+}  // namespace
+
+void SoakWorld::StopVm(Random& random) {
+  Vm& vm = AnyVm(random);
+  const bool is_running = vm.m_child->IsRunning() && !vm.m_end_is_expected;
+  if (!is_running || vm.m_is_paused) {
+    return;
+  }
+  vm.m_end_is_expected = true;
+  vm.m_stop_began = SteadyNow();
+  vm.m_child->Signal(SIGTERM);
+}
+
+void SoakWorld::DrainServer(Random& random) {
+  SoakServer& server = AnyServer(random);
+  const std::string instance = server.Instance();
+  if (!server.IsUp() || m_leaving.contains(instance)) {
+    return;
+  }
+  PutServerEntry(server, "draining");
+  m_leaving[instance] = SteadyNow();
+  After(kLeavingServes, [this, &server, instance] {
+    m_store.RemoveKey(platform::kServerPrefix + instance);
+    if (server.Instance() == instance) {
+      RestartServer(server, server.Spec().m_service);
+    }
+  });
+}
+
+void SoakWorld::ChangeConfig(Random&) {
+  PutConfig();
+}
+
+void SoakWorld::EvacuateDomain(Random& random) {
+  const std::string domain = random() % 2 == 0 ? "d1" : "d2";
+  if (!m_evacuated.empty()) {
+    return;
+  }
+  m_store.PutText(platform::kEvacuationPrefix + domain, "{}");
+  m_evacuated[domain] = SteadyNow();
+  After(Draw(random, seconds(3), seconds(6)), [this, domain] {
+    m_store.RemoveKey(platform::kEvacuationPrefix + domain);
+    m_evacuated.erase(domain);
+  });
+}
+
+void SoakWorld::ReloadSettings(Random& random) {
+  Vm& vm = AnyVm(random);
+  ++vm.m_settings_number;
+  WriteSettings(vm);
+  vm.m_child->Signal(SIGHUP);
+}
+
+void SoakWorld::KillVm(Random& random) {
+  Vm& vm = AnyVm(random);
+  vm.m_end_is_expected = true;
+  vm.m_is_paused = false;
+  vm.m_stop_began = TimePoint::max();
+  Trouble(vm, seconds(1));
+  vm.m_child->Signal(SIGKILL);
+}
+
+void SoakWorld::KillAllVms(Random&) {
+  for (Vm& vm : m_vms) {
+    vm.m_end_is_expected = true;
+    vm.m_is_paused = false;
+    vm.m_stop_began = TimePoint::max();
+    vm.m_child->Signal(SIGKILL);
+  }
+  TroubleAll(seconds(1));
+}
+
+void SoakWorld::PauseVm(Random& random) {
+  Vm& vm = AnyVm(random);
+  if (vm.m_end_is_expected || vm.m_is_paused) {
+    return;
+  }
+  const Duration time = Draw(random, milliseconds(300), seconds(5));
+  vm.m_is_paused = true;
+  Trouble(vm, time);
+  vm.m_child->Signal(SIGSTOP);
+  After(time, [&vm] {
+    vm.m_child->Signal(SIGCONT);
+    vm.m_is_paused = false;
+  });
+}
+
+void SoakWorld::CrashServer(Random& random) {
+  SoakServer& server = AnyServer(random);
+  if (!server.IsUp()) {
+    return;
+  }
+  const std::string instance = server.Instance();
+  TroubleAll(seconds(1));
+  server.Crash();
+  After(kEntryLapses, [this, instance] {
+    m_store.RemoveKey(platform::kServerPrefix + instance);
+  });
+  After(Draw(random, milliseconds(500), seconds(6)), [this, &server, instance] {
+    if (!server.IsUp() && server.Instance() == instance) {
+      RestartServer(server, server.Spec().m_service);
+    }
+  });
+}
+
+void SoakWorld::ReuseAddress(Random& random) {
+  SoakServer& server = AnyServer(random);
+  if (!server.IsUp()) {
+    return;
+  }
+  // The entry of the old instance stays for a while, under the same address.
+  const std::string instance = server.Instance();
+  const bool reads = server.Spec().m_service == "reads";
+  TroubleAll(seconds(1));
+  RestartServer(server, reads ? "writes" : "reads");
+  After(kEntryLapses, [this, instance] {
+    m_store.RemoveKey(platform::kServerPrefix + instance);
+  });
+}
+
+void SoakWorld::DelayServer(Random& random) {
+  SoakServer& server = AnyServer(random);
+  const Duration time = Draw(random, seconds(1), seconds(3));
+  server.Proxy().SetDelay(Draw(random, milliseconds(50), milliseconds(400)));
+  TroubleAll(time);
+  After(time, [&server] { server.Proxy().SetDelay({}); });
+}
+
+void SoakWorld::ResetServer(Random& random) {
+  TroubleAll(milliseconds(100));
+  AnyServer(random).Proxy().ResetAll();
+}
+
+void SoakWorld::SilenceServer(Random& random) {
+  SoakServer& server = AnyServer(random);
+  if (!server.IsUp()) {
+    return;
+  }
+  const Duration time = Draw(random, seconds(1), seconds(4));
+  TroubleAll(time);
+  server.Proxy().SetFault(random() % 2 == 0 ? LinkFault::kSilent
+                                            : LinkFault::kSilentBackward);
+  After(time, [&server] {
+    if (server.IsUp()) {
+      server.Proxy().SetFault(LinkFault::kNone);
+      // What was dropped in the middle of a connection never comes.
+      server.Proxy().ResetAll();
+    }
+  });
+}
+
+void SoakWorld::CutVmFromStore(Random& random) {
+  Vm& vm = AnyVm(random);
+  const Duration time = Draw(random, seconds(1), seconds(5));
+  constexpr LinkFault kFaults[] = {LinkFault::kRefuse, LinkFault::kSilent,
+                                   LinkFault::kSilentBackward};
+  Trouble(vm, time);
+  vm.m_store->SetFault(kFaults[random() % std::size(kFaults)]);
+  vm.m_store->ResetAll();
+  After(time, [&vm] {
+    vm.m_store->SetFault(LinkFault::kNone);
+    vm.m_store->ResetAll();
+  });
+}
+
+void SoakWorld::StoreFault(const std::string& faults, Duration time) {
+  HttpRequest request;
+  request.m_path = "/v1/fault";
+  request.m_body = faults;
+  TroubleAll(time);
+  m_store.Serve(request, [](const HttpResponse&) {});
+}
+
+void SoakWorld::StoreRefuses(Random& random) {
+  const Duration time = Draw(random, milliseconds(500), seconds(6));
+  StoreFault(nlohmann::json{{"refuse_ms", time / milliseconds(1)}}.dump(),
+             time);
+}
+
+void SoakWorld::StoreIsSilent(Random& random) {
+  const Duration time = Draw(random, milliseconds(500), seconds(6));
+  StoreFault(nlohmann::json{{"silent_ms", time / milliseconds(1)}}.dump(),
+             time);
+}
+
+void SoakWorld::StoreIsSlow(Random& random) {
+  const Duration time = Draw(random, seconds(1), seconds(4));
+  const Duration delay = Draw(random, milliseconds(50), milliseconds(700));
+  StoreFault(nlohmann::json{{"delay_ms", delay / milliseconds(1)}}.dump(),
+             time);
+  After(time, [this] { StoreFault("{}", {}); });
+}
+
+void SoakWorld::StoreLosesAnswers(Random& random) {
+  StoreFault(nlohmann::json{{"lose_answers", 1 + random() % 5}}.dump(),
+             seconds(3));
+}
+
+void SoakWorld::StoreForgetsHistory(Random&) {
+  StoreFault(R"({"forget_history": true})", milliseconds(100));
+}
+
+}  // namespace sorrelplank::soak
--- /dev/null
+++ b/soak/soak_server.cc
@@ -0,0 +1,138 @@
+/// @file soak_server.cc Slots, queue, answers.
+
+#include "soak/soak_server.h"
+
+#include <utility>
+
+#include "platform/wire_names.h"
+#include "soak/ledger.h"
+
+namespace sorrelplank::soak {
+
+namespace {
+
+constexpr size_t kSlots = 4;
+constexpr size_t kQueue = 8;
+/// A run takes this long, or up to three times as long.
+constexpr int kRunMs = 20;
+
+asio::ip::tcp::endpoint Endpoint(const std::string& ip, uint16_t port) {
+  return {asio::ip::make_address(ip), port};
+}
+
+ProxyEnds EndsOf(const SoakServerSpec& spec) {
+  return {Endpoint(spec.m_ip, spec.m_port),
+          Endpoint(spec.m_ip, static_cast<uint16_t>(spec.m_port + 1))};
+}
+
+}  // namespace
+
+SoakServer::SoakServer(asio::io_context& io,
+                       SoakServerSpec spec,
+                       Ledger& ledger,
+                       RunHandler on_run)
+    : m_io(io),
+      m_spec(std::move(spec)),
+      m_ledger(ledger),
+      m_on_run(std::move(on_run)),
+      m_proxy(io, EndsOf(m_spec)),
+      m_server(io,
+               m_spec.m_ip,
+               static_cast<uint16_t>(m_spec.m_port + 1),
+               {},
+               [this](HttpRequest request, HttpReply reply) {
+                 Serve(std::move(request), std::move(reply));
+               }) {}
+
+std::string SoakServer::Address() const {
+  return m_spec.m_ip + ":" + std::to_string(m_spec.m_port);
+}
+
+void SoakServer::Crash() {
+  m_is_up = false;
+  ++m_life;
+  m_running = 0;
+  m_queue.clear();
+  m_proxy.SetFault(LinkFault::kRefuse);
+  m_proxy.ResetAll();
+}
+
+void SoakServer::Restart(const std::string& instance,
+                         const std::string& service) {
+  Crash();
+  m_instance = instance;
+  m_spec.m_service = service;
+  m_is_up = true;
+  m_proxy.SetFault(LinkFault::kNone);
+  m_proxy.SetDelay({});
+}
+
+void SoakServer::Reject(const HttpRequest& request,
+                        const HttpReply& reply,
+                        int status) {
+  const ProxyNames names = platform::HeaderNames();
+  HttpResponse response;
+  response.m_status = status;
+  response.m_headers = {
+      {names.m_request_id, request.Header(names.m_request_id).value_or("")},
+      {names.m_not_run, "1"}};
+  reply(std::move(response));
+}
+
+void SoakServer::Serve(HttpRequest request, HttpReply reply) {
+  if (!m_is_up) {
+    return;
+  }
+  const ProxyNames names = platform::HeaderNames();
+  const auto expected = request.Header(names.m_expected_instance);
+  if (expected && *expected != m_instance) {
+    Reject(request, reply, 421);
+    return;
+  }
+  Work work{std::move(request), std::move(reply)};
+  if (m_running < kSlots) {
+    Run(std::move(work));
+  } else if (m_queue.size() < kQueue) {
+    m_queue.push_back(std::move(work));
+  } else {
+    Reject(work.m_request, work.m_reply, 503);
+  }
+}
+
+void SoakServer::Run(Work work) {
+  const ProxyNames names = platform::HeaderNames();
+  const std::string id = work.m_request.Header(names.m_request_id).value_or("");
+  m_ledger.Runs(id, m_instance, work.m_request.m_target, work.m_request.m_body);
+  m_on_run(id, *this);
+  ++m_running;
+  std::uniform_int_distribution<int> spread(kRunMs, 3 * kRunMs);
+  auto timer = std::make_shared<asio::steady_timer>(
+      m_io, milliseconds(spread(m_random)));
+  timer->async_wait(
+      [this, timer, life = m_life, work = std::move(work)](std::error_code) {
+        if (life == m_life) {
+          Finish(work);
+        }
+      });
+}
+
+void SoakServer::Finish(const Work& work) {
+  const ProxyNames names = platform::HeaderNames();
+  const std::string id = work.m_request.Header(names.m_request_id).value_or("");
+  HttpResponse response;
+  response.m_headers = {{names.m_request_id, id},
+                        {names.m_stamp, m_instance},
+                        {names.m_load, std::to_string(m_running) + "," +
+                                           std::to_string(m_queue.size()) +
+                                           "," + std::to_string(kSlots)}};
+  response.m_body = Ledger::AnswerBody(id, work.m_request.m_target);
+  work.m_reply(std::move(response));
+  --m_running;
+  if (!m_queue.empty()) {
+    Work next = std::move(m_queue.front());
+    m_queue.pop_front();
+    Run(std::move(next));
+  }
+}
+
+}  // namespace sorrelplank::soak
--- /dev/null
+++ b/soak/soak_server.h
@@ -0,0 +1,83 @@
+/// @file soak_server.h A backend server of the soak, behind a proxy of its own.
+
+#ifndef SORRELPLANK_SOAK_SOAK_SERVER_H_
+#define SORRELPLANK_SOAK_SOAK_SERVER_H_
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "net/http_server.h"
+#include "soak/fault_proxy.h"
+
+namespace sorrelplank::soak {
+
+class Ledger;
+
+/// What a server is.
+struct SoakServerSpec {
+  std::string m_service;
+  std::string m_failure_domain;
+  std::string m_ip;
+  /// The proxy's port; the server itself listens on the next one.
+  uint16_t m_port = 0;
+};
+
+/// Runs requests in slots, with a short queue, and reports each run to the
+/// ledger. One instance at a time; a restart is a new one.
+class SoakServer {
+ public:
+  /// Told of each request that begins to run: its id and this server.
+  using RunHandler =
+      std::function<void(const std::string& id, const SoakServer& server)>;
+
+  SoakServer(asio::io_context& io,
+             SoakServerSpec spec,
+             Ledger& ledger,
+             RunHandler on_run);
+
+  const SoakServerSpec& Spec() const { return m_spec; }
+  const std::string& Instance() const { return m_instance; }
+  std::string Address() const;
+  FaultProxy& Proxy() { return m_proxy; }
+
+  /// All that runs is lost, and connections are refused.
+  void Crash();
+  /// Serves under a new instance id, and may be of another service.
+  void Restart(const std::string& instance, const std::string& service);
+  bool IsUp() const { return m_is_up; }
+
+ private:
+  /// A request that runs or waits for a slot.
+  struct Work {
+    HttpRequest m_request;
+    HttpReply m_reply;
+  };
+
+  void Serve(HttpRequest request, HttpReply reply);
+  void Reject(const HttpRequest& request, const HttpReply& reply, int status);
+  void Run(Work work);
+  void Finish(const Work& work);
+
+  asio::io_context& m_io;
+  SoakServerSpec m_spec;
+  Ledger& m_ledger;
+  RunHandler m_on_run;
+  std::string m_instance;
+  bool m_is_up = false;
+  std::minstd_rand m_random;
+  size_t m_running = 0;
+  std::list<Work> m_queue;
+  /// Counts lives, so that what an earlier one ran does not end in a later.
+  uint64_t m_life = 0;
+  FaultProxy m_proxy;
+  HttpServer m_server;
+};
+
+}  // namespace sorrelplank::soak
+
+#endif  // SORRELPLANK_SOAK_SOAK_SERVER_H_
--- /dev/null
+++ b/soak/soak_world.h
@@ -0,0 +1,135 @@
+/// @file soak_world.h Entry VMs as processes, with everything around them.
+
+#ifndef SORRELPLANK_SOAK_SOAK_WORLD_H_
+#define SORRELPLANK_SOAK_SOAK_WORLD_H_
+
+#include <asio.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/time_type.h"
+#include "net/http_server.h"
+#include "soak/edge_child.h"
+#include "soak/fault_proxy.h"
+#include "soak/ledger.h"
+#include "soak/soak_caller.h"
+#include "soak/soak_server.h"
+#include "standin/store_standin.h"
+
+namespace sorrelplank::soak {
+
+/// How a world is set up.
+struct WorldOptions {
+  std::string m_program;
+  /// Settings and logs of the processes are written here.
+  std::string m_folder;
+  /// Whether promises with a time bound are checked: not on a machine that is
+  /// busy with other work.
+  bool m_checks_times = false;
+};
+
+/// Six entry VMs in three failure domains, twelve backend servers of two
+/// services, a store, and callers. Its faults are what a schedule draws from;
+/// each one ends by itself.
+class SoakWorld {
+ public:
+  using Random = std::mt19937_64;
+
+  SoakWorld(asio::io_context& io, WorldOptions options);
+  ~SoakWorld();
+
+  /// Starts everything and callers; ready once each VM answers.
+  void Start();
+  void StopCallers();
+  bool AreCallersIdle() const;
+  /// Ends all faults at once.
+  void Heal();
+  Ledger& Records() { return m_ledger; }
+
+  // Planned work.
+  void StopVm(Random& random);
+  void DrainServer(Random& random);
+  void ChangeConfig(Random& random);
+  void EvacuateDomain(Random& random);
+  void ReloadSettings(Random& random);
+
+  // Faults.
+  void KillVm(Random& random);
+  void KillAllVms(Random& random);
+  void PauseVm(Random& random);
+  void CrashServer(Random& random);
+  void ReuseAddress(Random& random);
+  void DelayServer(Random& random);
+  void ResetServer(Random& random);
+  void SilenceServer(Random& random);
+  void CutVmFromStore(Random& random);
+  void StoreRefuses(Random& random);
+  void StoreIsSilent(Random& random);
+  void StoreIsSlow(Random& random);
+  void StoreLosesAnswers(Random& random);
+  void StoreForgetsHistory(Random& random);
+
+ private:
+  /// One entry VM.
+  struct Vm {
+    std::string m_name;
+    std::string m_domain;
+    std::string m_ip;
+    std::unique_ptr<EdgeChild> m_child;
+    std::unique_ptr<FaultProxy> m_store;
+    /// Its end is our doing; restarted once it has ended.
+    bool m_end_is_expected = false;
+    bool m_is_paused = false;
+    TimePoint m_stop_began = TimePoint::max();
+    /// Promises with a time bound hold for it from then on.
+    TimePoint m_troubled_until{};
+    int m_settings_number = 0;
+  };
+
+  void WriteSettings(Vm& vm);
+  void PutConfig();
+  void PutServerEntry(const SoakServer& server, const char* state);
+  void RestartServer(SoakServer& server, const std::string& service);
+  void StoreFault(const std::string& faults, Duration time);
+  void Poll();
+  void PollVm(Vm& vm);
+  void OnRun(const std::string& id, const SoakServer& server);
+  void OnCut(const std::string& id);
+  CallerTarget PickTarget();
+  bool IsCalm(const Vm& vm) const;
+  Vm* FindVm(const std::string& name);
+  Vm& AnyVm(Random& random);
+  SoakServer& AnyServer(Random& random);
+  void Trouble(Vm& vm, Duration time);
+  void TroubleAll(Duration time);
+  /// Does something later; dropped when the world is gone.
+  void After(Duration time, std::function<void()> call);
+  std::string Ip(int last) const;
+
+  asio::io_context& m_io;
+  WorldOptions m_options;
+  std::string m_network;
+  Ledger m_ledger;
+  StoreStandin m_store;
+  std::unique_ptr<HttpServer> m_store_server;
+  std::vector<std::unique_ptr<SoakServer>> m_servers;
+  std::vector<Vm> m_vms;
+  std::vector<std::shared_ptr<SoakCaller>> m_callers;
+  asio::steady_timer m_poll;
+  std::minstd_rand m_random;
+  uint64_t m_version = 0;
+  uint64_t m_next_instance = 1;
+  /// When the store took an instance's leaving, or a domain's evacuation.
+  std::map<std::string, TimePoint> m_leaving;
+  std::map<std::string, TimePoint> m_evacuated;
+  std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
+};
+
+}  // namespace sorrelplank::soak
+
+#endif  // SORRELPLANK_SOAK_SOAK_WORLD_H_
--- a/src/proxy/edge_settings.cc
+++ b/src/proxy/edge_settings.cc
@@ -138,6 +138,8 @@
       .m_store_address = reader.Address("store_address"),
       .m_shortest_lease = reader.Seconds("shortest_lease_s", kMostSeconds),
       .m_longest_ttl = reader.Seconds("longest_ttl_s", kMostSeconds),
+      .m_config_apply = reader.Seconds("config_apply_s", kMostSeconds),
+      .m_drain = reader.Seconds("drain_s", kMostSeconds),
       .m_stop_grace = reader.Seconds("stop_grace_s", kMostSeconds),
   };
   const auto& domains = settings.m_steering.m_regions;
--- a/src/proxy/edge_settings_type.h
+++ b/src/proxy/edge_settings_type.h
@@ -29,6 +29,10 @@
   Duration m_shortest_lease = seconds(1);
   /// Longest time that clients keep a directory answer.
   Duration m_longest_ttl = seconds(5);
+  /// Time within which a new configuration must be in force.
+  Duration m_config_apply = seconds(2);
+  /// Time within which a leaving backend server must be left alone.
+  Duration m_drain = seconds(2);
   /// Time from SIGTERM until the process is killed.
   Duration m_stop_grace = seconds(6);
 };
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <restinio/utils/base64.hpp>
 #include <utility>
 
 namespace sorrelplank {
@@ -11,6 +12,7 @@
 namespace {
 
 using nlohmann::json;
+namespace base64 = restinio::utils::base64;
 
 constexpr size_t kPageItems = 50;
 constexpr size_t kMostHistory = 10000;
@@ -217,6 +219,18 @@
   return JsonResponse(200, {{"Rev", m_revision}});
 }
 
+void StoreStandin::PutText(const std::string& key, const std::string& value) {
+  ++m_revision;
+  Put({{"Key", key}, {"Value", base64::encode(value)}});
+  WakeWatchers();
+}
+
+void StoreStandin::RemoveKey(const std::string& key) {
+  ++m_revision;
+  Remove(key);
+  WakeWatchers();
+}
+
 void StoreStandin::Put(const json& entry) {
   const auto key = entry.at("Key").get<std::string>();
   Item& item = m_items[key];
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -24,6 +24,10 @@
 
   void Serve(const HttpRequest& request, const HttpReply& reply);
 
+  /// Writes and removes keys as somebody whom no fault touches.
+  void PutText(const std::string& key, const std::string& value);
+  void RemoveKey(const std::string& key);
+
  private:
   using Clock = std::chrono::steady_clock;
   using Json = nlohmann::json;
--- /dev/null
+++ b/tests/soak_ledger_test.cc
@@ -0,0 +1,117 @@
+/// @file soak_ledger_test.cc That the soak's checks notice what they are for.
+
+#include "soak/ledger.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+namespace sorrelplank::soak {
+namespace {
+
+/// A caller that has sent one write and one read.
+struct LedgerFixture {
+  Ledger m_ledger;
+
+  LedgerFixture() {
+    m_ledger.Sent("w", {.m_vm = "vm",
+                        .m_path = "/write/w",
+                        .m_body = "b",
+                        .m_idempotent = false});
+    m_ledger.Sent("r", {.m_vm = "vm", .m_path = "/read/r", .m_body = ""});
+  }
+
+  void RunWrite() { m_ledger.Runs("w", "i-1", "/write/w", "b"); }
+  void AnswerWrite(int status) {
+    m_ledger.Answered("w", {.m_status = status,
+                            .m_has_stamp = true,
+                            .m_request_id = "w",
+                            .m_body = Ledger::AnswerBody("w", "/write/w")});
+  }
+  size_t Breaches() const { return m_ledger.Breaches().size(); }
+};
+
+std::unique_ptr<LedgerFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<LedgerFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(SoakLedger, .init = SetUp, .fini = TearDown);
+
+Test(SoakLedger, Write_RunsOnceAndAnswered_IsNoBreach) {
+  g_fixture->RunWrite();
+  g_fixture->AnswerWrite(200);
+  cr_assert_eq(g_fixture->Breaches(), 0);
+}
+
+Test(SoakLedger, Write_RunsTwice_IsABreach) {
+  g_fixture->RunWrite();
+  g_fixture->RunWrite();
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+Test(SoakLedger, Read_RunsTwice_IsNoBreach) {
+  g_fixture->m_ledger.Runs("r", "i-1", "/read/r", "");
+  g_fixture->m_ledger.Runs("r", "i-2", "/read/r", "");
+  cr_assert_eq(g_fixture->Breaches(), 0);
+}
+
+Test(SoakLedger, Write_RefusedAfterARun_IsABreach) {
+  g_fixture->RunWrite();
+  g_fixture->AnswerWrite(503);
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+// The refusal comes first; a copy that was on its way runs later.
+Test(SoakLedger, Write_RunsAfterARefusal_IsABreach) {
+  g_fixture->AnswerWrite(503);
+  g_fixture->RunWrite();
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+Test(SoakLedger, Write_FailsWithoutAPromise_MayHaveRun) {
+  g_fixture->RunWrite();
+  g_fixture->AnswerWrite(502);
+  cr_assert_eq(g_fixture->Breaches(), 0);
+}
+
+Test(SoakLedger, Success_OfNoRun_IsABreach) {
+  g_fixture->AnswerWrite(200);
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+Test(SoakLedger, Success_WithAnotherBody_IsABreach) {
+  g_fixture->RunWrite();
+  g_fixture->m_ledger.Answered("w", {.m_status = 200,
+                                     .m_has_stamp = true,
+                                     .m_request_id = "w",
+                                     .m_body = "cut sho"});
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+Test(SoakLedger, Answer_OfAnotherRequest_IsABreach) {
+  g_fixture->RunWrite();
+  g_fixture->m_ledger.Answered("w", {.m_status = 500,
+                                     .m_has_stamp = true,
+                                     .m_request_id = "r",
+                                     .m_body = ""});
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+Test(SoakLedger, Run_NobodySent_IsABreach) {
+  g_fixture->m_ledger.Runs("x", "i-1", "/write/x", "");
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+Test(SoakLedger, Run_WithAnotherBody_IsABreach) {
+  g_fixture->m_ledger.Runs("w", "i-1", "/write/w", "other");
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+}  // namespace
+}  // namespace sorrelplank::soak
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -56,7 +56,8 @@
     cr_assert_eq(pipe(m_pipe), 0);
     m_log = std::make_unique<DecisionLog>("vm", m_pipe[1]);
     m_watch = std::make_unique<StoreWatch>(
-        m_io, m_client, *m_log, [this](const StoreMirror::Changes& changes) {
+        m_io, m_client, *m_log, seconds(2),
+        [this](const StoreMirror::Changes& changes) {
           for (const StoreItem& item : changes) {
             if (item.m_removed) {
               m_seen.erase(item.m_key);
@@ -112,6 +113,15 @@
 
 TestSuite(StoreWatch, .init = SetUp, .fini = TearDown, .timeout = 60);
 
+// Every change wakes every VM, and each call is paid for. Large fleets gather
+// longer, but never more than the part of the allowed time that leaves one call
+// to fail.
+Test(StoreWatch, Gathering_FleetGrows_StaysWithinTheAllowedLag) {
+  cr_assert_lt(GatherTime(8, milliseconds(2500)), milliseconds(300));
+  cr_assert_eq(GatherTime(84, seconds(4)), Duration(milliseconds(1600)));
+  cr_assert_eq(GatherTime(710, seconds(3)), Duration(milliseconds(1200)));
+}
+
 Test(StoreWatch, ManyKeys_MoreThanAPage_AreAllRead) {
   for (int number = 0; number < 120; ++number) {
     g_fixture->Put("servers/i-" + std::to_string(number), "x");
