--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -62,7 +62,6 @@
   static int OnBody(http_parser* parser, const char* at, size_t length);
   static int OnComplete(http_parser* parser);
 
-  asio::io_context& m_io;
   Ledger& m_ledger;
   std::string m_name;
   TargetPicker m_pick;
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -285,7 +285,7 @@
   vm.m_end_is_expected = false;
   vm.m_stop_began = TimePoint::max();
   Trouble(vm, milliseconds(500));
-  After(milliseconds(300), [this, &vm] {
+  After(milliseconds(300), [&vm] {
     if (!vm.m_child->IsRunning()) {
       vm.m_child->Start();
     }
