Tell the VMs of a region what servers said of their load

Not tried: a hop to one VM per object; it costs a second VM's time for each request and one more place where a request that must run once can be in doubt. Change: each VM tells the reports of the last 250 ms to the other VMs of its region by one datagram each, at most 30 VMs at a time (12 KB/s at the planned size).

--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -29,6 +29,7 @@
 constexpr uint16_t kReadyPort = 8081;
 constexpr uint16_t kDirectoryPort = 8082;
 constexpr uint16_t kMetricsPort = 8083;
+constexpr uint16_t kExchangePort = 8084;
 constexpr uint16_t kServerPort = 8090;
 /// Bounds that the entry VMs are told, in seconds.
 constexpr double kConfigApplyS = 2.5;
@@ -140,6 +141,7 @@
       {"ready_address", AddressText(vm.m_ip, kReadyPort)},
       {"directory_address", AddressText(vm.m_ip, kDirectoryPort)},
       {"metrics_address", AddressText(vm.m_ip, kMetricsPort)},
+      {"exchange_address", AddressText(vm.m_ip, kExchangePort)},
       {"store_address", AddressText(vm.m_ip, kStoreProxyPort)},
       {"shortest_lease_s", 1},
       {"longest_ttl_s", 5},
--- a/src/proxy/edge_settings_type.h
+++ b/src/proxy/edge_settings_type.h
@@ -23,6 +23,9 @@
   /// Where clients ask which entry VMs to use.
   VmAddress m_directory_address;
   VmAddress m_metrics_address;
+  /// Where entry VMs tell each other of loads, by datagram; the port is the
+  /// same at all of them.
+  VmAddress m_exchange_address;
   /// The platform's store.
   VmAddress m_store_address;
   /// Shortest lifetime of a lease that the store grants.
--- /dev/null
+++ b/src/proxy/load_exchange.cc
@@ -0,0 +1,106 @@
+/// @file load_exchange.cc Datagrams of loads.
+
+#include "proxy/load_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "proto/loads.pb.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Loads are told this often; a slot's usual time is a quarter of a second or
+/// more, so that a load is not much changed by then.
+constexpr Duration kInterval = milliseconds(250);
+/// VMs told at once; with more, each time the next ones. Thirty datagrams of a
+/// hundred bytes four times a second are 12 KB/s, what control may cost a VM.
+constexpr size_t kMostPeers = 30;
+/// Loads in one datagram, which then fits a usual packet of 1,500 bytes.
+constexpr size_t kMostLoads = 120;
+
+asio::ip::udp::endpoint Endpoint(VmAddress address) {
+  return {asio::ip::address_v4(address.m_ip), address.m_port};
+}
+
+}  // namespace
+
+std::string EncodeLoads(const std::vector<ServerLoad>& loads) {
+  proto::ServerLoads message;
+  for (size_t at = 0; at < std::min(loads.size(), kMostLoads); ++at) {
+    const ServerLoad& load = loads[at];
+    message.add_server(load.m_server.Get());
+    message.add_running(load.m_load.m_running);
+    message.add_waiting(load.m_load.m_waiting);
+    message.add_age_ms(static_cast<uint32_t>(load.m_age / milliseconds(1)));
+  }
+  return message.SerializeAsString();
+}
+
+std::vector<ServerLoad> DecodeLoads(const char* bytes, size_t length) {
+  proto::ServerLoads message;
+  if (!message.ParseFromArray(bytes, static_cast<int>(length))) {
+    return {};
+  }
+  const int count = message.server_size();
+  if (message.running_size() != count || message.waiting_size() != count ||
+      message.age_ms_size() != count) {
+    return {};
+  }
+  std::vector<ServerLoad> loads;
+  loads.reserve(static_cast<size_t>(count));
+  for (int at = 0; at < count; ++at) {
+    loads.push_back({.m_server = NameHash(message.server(at)),
+                     .m_load = {.m_running = message.running(at),
+                                .m_waiting = message.waiting(at)},
+                     .m_age = milliseconds(message.age_ms(at))});
+  }
+  return loads;
+}
+
+LoadExchange::LoadExchange(asio::io_context& io,
+                           VmAddress own,
+                           LoadsHandler handler)
+    : m_socket(io, Endpoint(own)), m_handler(std::move(handler)) {
+  m_socket.non_blocking(true);
+  Receive();
+}
+
+bool LoadExchange::IsDue(TimePoint now) const {
+  return now - m_told >= kInterval;
+}
+
+void LoadExchange::Tell(const std::vector<ServerLoad>& loads, TimePoint now) {
+  m_told = now;
+  if (loads.empty() || m_peers.empty()) {
+    return;
+  }
+  const std::string bytes = EncodeLoads(loads);
+  const size_t count = std::min(m_peers.size(), kMostPeers);
+  for (size_t sent = 0; sent < count; ++sent) {
+    const VmAddress peer = m_peers[m_next_peer++ % m_peers.size()];
+    std::error_code ignored;  // A peer that is gone misses what it needs not.
+    m_socket.send_to(asio::buffer(bytes), Endpoint(peer), 0, ignored);
+  }
+}
+
+void LoadExchange::Receive() {
+  m_socket.async_receive_from(asio::buffer(m_buffer), m_sender,
+                              [this](std::error_code error, size_t bytes) {
+                                if (error == asio::error::operation_aborted) {
+                                  return;
+                                }
+                                if (!error) {
+                                  ++m_received;
+                                  const auto loads =
+                                      DecodeLoads(m_buffer.data(), bytes);
+                                  if (!loads.empty()) {
+                                    m_handler(loads);
+                                  }
+                                }
+                                Receive();
+                              });
+}
+
+}  // namespace sorrelplank
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -98,11 +98,9 @@
   --m_own;
   m_last_end = now;
   if (report.m_load) {
-    const double total = report.m_load->m_running + report.m_load->m_waiting;
-    m_others = std::max(0.0, total - m_own);
-    const bool is_stale = now - m_reported >= kLoadLife;
-    m_load = is_stale ? total : m_load + (total - m_load) * kSampleWeight;
-    m_reported = now;
+    TakeReport(*report.m_load, Duration::zero(), now);
+    m_untold = report.m_load;
+    m_untold_at = now;
   }
   if (report.m_end == AttemptEnd::kRejected) {
     CountRejection(report, now);
@@ -119,6 +117,29 @@
   m_latency.Add(report.m_latency);
 }
 
+void ServerTrack::TakeReport(const ReportedLoad& load,
+                             Duration age,
+                             TimePoint now) {
+  if (now - age < m_reported) {
+    return;
+  }
+  const double total = load.m_running + load.m_waiting;
+  m_others = std::max(0.0, total - m_own);
+  const bool is_stale = now - m_reported >= kLoadLife;
+  m_load = is_stale ? total : m_load + (total - m_load) * kSampleWeight;
+  m_reported = now - age;
+}
+
+std::optional<ServerLoad> ServerTrack::TakeUntoldLoad(TimePoint now) {
+  if (!m_untold) {
+    return std::nullopt;
+  }
+  const ServerLoad told{HashName(m_entry.m_instance), *m_untold,
+                        now - m_untold_at};
+  m_untold.reset();
+  return told;
+}
+
 void ServerTrack::CountRejection(const AttemptReport& report, TimePoint now) {
   const bool has_free_slot =
       report.m_load && report.m_load->m_running < report.m_load->m_slots;
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -11,6 +11,7 @@
 #include "steer/attempt_report_type.h"
 #include "steer/quantile_track.h"
 #include "steer/server_entry_type.h"
+#include "steer/server_load_type.h"
 #include "steer/usual_service_type.h"
 
 namespace sorrelplank {
@@ -29,6 +30,12 @@
   void CountEnd(const AttemptReport& report, TimePoint now);
   void CountCancel() { --m_own; }
 
+  /// Takes a report of the server's load if it is the newest, also one that
+  /// another entry VM received.
+  void TakeReport(const ReportedLoad& load, Duration age, TimePoint now);
+  /// The last report that came to this VM since it was asked before.
+  std::optional<ServerLoad> TakeUntoldLoad(TimePoint now);
+
   /// Requests under way: our own, and those of others by its last report.
   double Occupancy(TimePoint now) const;
   /// Requests under way and waiting at the server by its own reports, of all
@@ -75,6 +82,9 @@
   uint32_t m_waiting = 0;
   double m_others = 0;
   TimePoint m_reported{};
+  /// The last report to this VM, until it is told to others.
+  std::optional<ReportedLoad> m_untold;
+  TimePoint m_untold_at{};
   /// Moving average of the reports.
   double m_load = 0;
   QuantileTrack m_latency{0.5};
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -86,6 +86,7 @@
   }
   const auto server = std::make_shared<ServerTrack>(entry, now);
   m_servers[entry.m_instance] = server;
+  m_servers_by_hash[HashName(entry.m_instance)] = server;
   Service(entry.m_service).AddServer(server, region);
 }
 
@@ -95,9 +96,30 @@
     return;
   }
   Service(it->second->Entry().m_service).RemoveServer(instance);
+  m_servers_by_hash.erase(HashName(instance));
   m_servers.erase(it);
 }
 
+std::vector<ServerLoad> Steering::TakeUntoldLoads(TimePoint now) {
+  std::vector<ServerLoad> loads;
+  for (const auto& [instance, server] : m_servers) {
+    const auto load = server->TakeUntoldLoad(now);
+    if (load) {
+      loads.push_back(*load);
+    }
+  }
+  return loads;
+}
+
+void Steering::TakeLoads(const std::vector<ServerLoad>& loads, TimePoint now) {
+  for (const ServerLoad& load : loads) {
+    const auto it = m_servers_by_hash.find(load.m_server);
+    if (it != m_servers_by_hash.end()) {
+      it->second->TakeReport(load.m_load, load.m_age, now);
+    }
+  }
+}
+
 void Steering::SetEvacuated(const std::set<std::string>& domains,
                             TimePoint now) {
   for (const auto& [instance, server] : m_servers) {
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -16,6 +16,7 @@
 #include "steer/even_dealer.h"
 #include "steer/route_index.h"
 #include "steer/routing_table_type.h"
+#include "steer/server_load_type.h"
 #include "steer/server_picker.h"
 #include "steer/steer_action_type.h"
 #include "steer/steered_request_type.h"
@@ -66,6 +67,11 @@
   /// Deadlines, waiting requests and second sends; to be called often.
   void Tick(TimePoint now);
 
+  /// Loads that servers told this VM since this was asked before.
+  std::vector<ServerLoad> TakeUntoldLoads(TimePoint now);
+  /// Loads that another entry VM was told.
+  void TakeLoads(const std::vector<ServerLoad>& loads, TimePoint now);
+
   const RoutingTable* Table() const { return m_table.get(); }
   size_t Running() const { return m_requests.size(); }
   size_t ServerCount() const { return m_servers.size(); }
@@ -126,6 +132,7 @@
   std::map<std::string, EvenDealer> m_splits;
   std::map<std::string, std::unique_ptr<SteeredService>> m_services;
   std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
+  std::unordered_map<NameHash, std::shared_ptr<ServerTrack>> m_servers_by_hash;
   RequestMap m_requests;
   uint64_t m_next_attempt = 1;
   bool m_refuses_new = false;
--- /dev/null
+++ b/tests/load_exchange_test.cc
@@ -0,0 +1,124 @@
+/// @file load_exchange_test.cc Loads told from one entry VM to another.
+
+#include "proxy/load_exchange.h"
+
+#include <criterion/criterion.h>
+#include <unistd.h>
+
+#include <memory>
+#include <string>
+
+#include "tests/steering_fixture.h"
+
+namespace sorrelplank {
+namespace {
+
+/// Two exchanges on loopback that name each other as peers.
+struct ExchangeFixture {
+  asio::io_context m_io{1};
+  /// Tests run side by side, each in a process of its own.
+  const uint32_t m_network =
+      0x7f4e0000U + ((static_cast<uint32_t>(getpid()) & 0x7fffU) << 1U);
+  const VmAddress m_first_address{m_network, 7540};
+  const VmAddress m_second_address{m_network + 1, 7540};
+  std::vector<ServerLoad> m_received;
+  LoadExchange m_first{m_io, m_first_address, [](const auto&) {}};
+  LoadExchange m_second{m_io, m_second_address,
+                        [this](const auto& loads) { m_received = loads; }};
+
+  ExchangeFixture() { m_first.SetPeers({m_second_address}); }
+};
+
+std::unique_ptr<ExchangeFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<ExchangeFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(LoadExchange, .init = SetUp, .fini = TearDown);
+
+Test(LoadExchange, Loads_Told_ArriveAtThePeer) {
+  g_fixture->m_first.Tell(
+      {{HashName("i-1"), {.m_running = 3, .m_waiting = 7}, milliseconds(40)}},
+      TimePoint(seconds(1)));
+  while (g_fixture->m_received.empty()) {
+    g_fixture->m_io.run_one();
+  }
+  const ServerLoad& load = g_fixture->m_received.front();
+  cr_assert_eq(load.m_server, HashName("i-1"));
+  cr_assert_eq(load.m_load.m_running, 3);
+  cr_assert_eq(load.m_load.m_waiting, 7);
+  cr_assert_eq(load.m_age, Duration(milliseconds(40)));
+}
+
+Test(LoadExchange, Told_AMomentAgo_IsNotDue) {
+  const TimePoint now(seconds(1));
+  g_fixture->m_first.Tell({}, now);
+  cr_assert_not(g_fixture->m_first.IsDue(now + milliseconds(100)));
+  cr_assert(g_fixture->m_first.IsDue(now + milliseconds(300)));
+}
+
+// Anybody can send a datagram to the port. What is no message, or has rows with
+// fields left out, is taken as nothing.
+Test(LoadExchange, Datagram_Malformed_IsNothing) {
+  const std::string whole =
+      EncodeLoads({{HashName("i-1"), {.m_running = 1}, {}}});
+  for (size_t length = 0; length < whole.size(); ++length) {
+    cr_assert_eq(DecodeLoads(whole.data(), length).size(), 0, "%zu", length);
+  }
+  const std::string noise(300, '\xff');
+  cr_assert_eq(DecodeLoads(noise.data(), noise.size()).size(), 0);
+}
+
+Test(LoadExchange, ManyLoads_Encoded_FitOnePacket) {
+  const std::vector<ServerLoad> loads(
+      500,
+      {HashName("i-1"), {.m_running = 4, .m_waiting = 18}, milliseconds(250)});
+  cr_assert_leq(EncodeLoads(loads).size(), 1400);
+}
+
+// Another VM was told that a server is full. This one, which has sent it
+// nothing for long, sends a request on its object to the other server.
+Test(LoadExchange, Server_FullByWordOfAnotherVm_IsLeftForTheOther) {
+  SteeringFixture fixture;
+  fixture.Arrive("/read/x", 5);
+  const std::string first = fixture.Last<SendToServer>()->m_instance;
+  fixture.End(*fixture.Last<SendToServer>(), AttemptEnd::kAnswered);
+  fixture.Pass(seconds(5));
+  fixture.m_steering.TakeLoads(
+      {{HashName(first), {.m_running = 2, .m_waiting = 12}, milliseconds(10)}},
+      fixture.m_now);
+  fixture.Arrive("/read/y", 5);
+  cr_assert_str_neq(fixture.Last<SendToServer>()->m_instance.c_str(),
+                    first.c_str());
+}
+
+// A report that this VM received itself is newer than what it is told.
+Test(LoadExchange, OlderLoad_Told_ChangesNothing) {
+  ServerTrack server({"a", "s", {1, 80}, "d1", 2, false, {}}, TimePoint());
+  const TimePoint now(seconds(10));
+  server.TakeReport({.m_running = 1}, Duration::zero(), now);
+  server.TakeReport({.m_running = 9}, milliseconds(300),
+                    now + milliseconds(50));
+  cr_assert_float_eq(*server.RecentLoad(now + milliseconds(50)), 1, 0.001);
+}
+
+Test(LoadExchange, Report_ToldOnce_IsNotToldAgain) {
+  SteeringFixture fixture;
+  fixture.Arrive("/read/x");
+  const SendToServer send = *fixture.Last<SendToServer>();
+  AttemptReport report{.m_end = AttemptEnd::kAnswered,
+                       .m_load = ReportedLoad{1, 0, 2},
+                       .m_latency = milliseconds(100)};
+  fixture.m_steering.Ended(send.m_request, send.m_attempt, report,
+                           fixture.m_now);
+  cr_assert_eq(fixture.m_steering.TakeUntoldLoads(fixture.m_now).size(), 1);
+  cr_assert_eq(fixture.m_steering.TakeUntoldLoads(fixture.m_now).size(), 0);
+}
+
+}  // namespace
+}  // namespace sorrelplank
