--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -90,7 +90,7 @@
   m_limit.expires_after(kPatience + kPatienceSlack);
   m_limit.async_wait([self = shared_from_this()](std::error_code error) {
     if (!error) {
-      self->OnEnd(false);
+      self->OnEnd();
     }
   });
   asio::async_write(m_socket, asio::buffer(m_bytes),
@@ -106,7 +106,7 @@
                                return;
                              }
                              if (error) {
-                               self->OnEnd(error == asio::error::eof);
+                               self->OnEnd();
                                return;
                              }
                              self->OnBytes(bytes);
@@ -127,7 +127,7 @@
       http_parser_execute(&m_parser, &parser_settings, m_buffer.data(), bytes);
   if (parsed < bytes) {
     m_ledger.Breach("own answer", m_id, "got bytes that are no answer to it");
-    OnEnd(false);
+    OnEnd();
   } else if (m_is_complete) {
     OnAnswer();
   } else {
@@ -150,9 +150,8 @@
   PauseThenNext();
 }
 
-void SoakCaller::OnEnd(bool is_clean) {
+void SoakCaller::OnEnd() {
   m_limit.cancel();
-  static_cast<void>(is_clean);
   Close();
   m_on_cut(m_id);
   m_ledger.Ended(m_id, CallerEnd::kCut);
--- a/soak/soak_caller.h
+++ b/soak/soak_caller.h
@@ -53,7 +53,8 @@
   void Read();
   void OnBytes(size_t bytes);
   void OnAnswer();
-  void OnEnd(bool is_clean);
+  /// The connection ended, or the caller's patience did.
+  void OnEnd();
   void Close();
   void PauseThenNext();
 
--- a/src/proxy/load_exchange.cc
+++ b/src/proxy/load_exchange.cc
@@ -80,8 +80,10 @@
   const size_t count = std::min(m_peers.size(), kMostPeers);
   for (size_t sent = 0; sent < count; ++sent) {
     const VmAddress peer = m_peers[m_next_peer++ % m_peers.size()];
-    std::error_code ignored;  // A peer that is gone misses what it needs not.
-    m_socket.send_to(asio::buffer(bytes), Endpoint(peer), 0, ignored);
+    std::error_code error;
+    m_socket.send_to(asio::buffer(bytes), Endpoint(peer), 0, error);
+    // Counted only: the next datagram tells something newer.
+    m_unsent += error ? 1 : 0;
   }
 }
 
--- a/src/proxy/load_exchange.h
+++ b/src/proxy/load_exchange.h
@@ -43,7 +43,10 @@
   bool IsDue(TimePoint now) const;
   void Tell(const std::vector<ServerLoad>& loads, TimePoint now);
 
+  /// Counts of datagrams, for metrics.
   uint64_t Received() const { return m_received; }
+  uint64_t Malformed() const { return m_malformed; }
+  uint64_t Unsent() const { return m_unsent; }
 
  private:
   void Receive();
@@ -54,6 +57,8 @@
   size_t m_next_peer = 0;
   TimePoint m_told{};
   uint64_t m_received = 0;
+  uint64_t m_malformed = 0;
+  uint64_t m_unsent = 0;
   asio::ip::udp::endpoint m_sender;
   std::array<char, 2048> m_buffer{};
 };
--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -74,6 +74,9 @@
   m_impl->Set("connections_opened", gauges.m_connections_opened);
   m_impl->Set("log_lines_dropped", gauges.m_log_lines_dropped);
   m_impl->Set("store_calls", gauges.m_store_calls);
+  m_impl->Set("load_messages", gauges.m_load_messages);
+  m_impl->Set("load_messages_malformed", gauges.m_load_messages_malformed);
+  m_impl->Set("load_messages_unsent", gauges.m_load_messages_unsent);
   return prom::TextSerializer().Serialize(m_impl->m_registry.Collect());
 }
 
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -20,6 +20,10 @@
   double m_connections_opened = 0;
   double m_log_lines_dropped = 0;
   double m_store_calls = 0;
+  /// Datagrams of loads from and to other VMs.
+  double m_load_messages = 0;
+  double m_load_messages_malformed = 0;
+  double m_load_messages_unsent = 0;
 };
 
 /// What is counted, by prometheus-cpp.
