Close the clients' port of a VM that has no routing table

Cause: a VM that restarts while the store is away answers not_ready to everything. Ruled out: refusals for want of slots (the reasons in the log lines are not_ready), holding the requests (the store stays away for seconds). Change: StartGate. After the second in which requests are held, a VM without a table closes its clients' port and leaves itself out of directory answers; it opens the port with the first table. A refusal not_ready closes its connection. Nothing is promised that is not true: such a VM never runs a request. What is left: such a VM could ask another VM for the last state.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -115,6 +115,10 @@
     m_server.close_async([] {}, [](const std::exception_ptr&) {});
   }
 
+  void Reopen(FailureHandler on_failure) {
+    m_server.open_async([] {}, std::move(on_failure));
+  }
+
  private:
   template <typename ServerSettings>
   void Configure(ServerSettings& settings,
@@ -187,4 +191,8 @@
   m_impl->Stop();
 }
 
+void HttpServer::Reopen(FailureHandler on_failure) {
+  m_impl->Reopen(std::move(on_failure));
+}
+
 }  // namespace sorrelplank
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -4,6 +4,7 @@
 #define SORRELPLANK_NET_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,7 @@
   using Handler = std::function<void(HttpRequest, HttpReply)>;
   /// Told when a connection with a request under way is closed.
   using ClosedHandler = std::function<void(uint64_t connection)>;
+  using FailureHandler = std::function<void(std::exception_ptr)>;
 
   /// Listens at once; throws std::runtime_error where it cannot.
   HttpServer(asio::io_context& io,
@@ -41,6 +43,9 @@
   /// Accepts no more connections.
   void Stop();
 
+  /// Accepts connections again after Stop; on_failure runs where it cannot.
+  void Reopen(FailureHandler on_failure);
+
  private:
   class Impl;
   std::unique_ptr<Impl> m_impl;
--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -269,6 +269,8 @@
   if (row.m_status == 503) {
     response.m_headers.emplace_back("Retry-After", retry_after);
   }
+  // The next request of this client is better sent to another VM.
+  response.m_close = action.m_reason == SteerRefusal::kNotReady;
   response.m_body = fmt::format(R"({{"error":"{}"}})", row.m_name);
   Answer(action.m_request, std::move(response), row.m_name);
 }
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/invariant_func.h"
+#include "steer/start_gate.h"
 #include "table/steer_refusal_table.h"
 
 namespace sorrelplank {
@@ -14,10 +15,6 @@
 
 /// How often loads of regions are measured.
 constexpr Duration kSharesInterval = milliseconds(100);
-/// Longest time that a request is held while the table and the servers are read
-/// for the first time. Across regions, with all VMs starting at once, that took
-/// up to 0.7 s.
-constexpr Duration kMostHeld = seconds(1);
 /// Part of the allowed shift that is used. The bound is on two adjacent windows
 /// of 2 s, so a steady move of x a second shows as 2 x; the rest is left for
 /// the unevenness of what the windows catch.
