--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -67,7 +67,10 @@
   return request;
 }
 
-void Send(const rest::request_handle_t& to, HttpResponse response) {
+/// Sends; after_write runs when all bytes were written or the connection ended.
+void Send(const rest::request_handle_t& to,
+          HttpResponse response,
+          std::function<void()> after_write) {
   auto builder = to->create_response(rest::http_status_line_t{
       rest::http_status_code_t{static_cast<uint16_t>(response.m_status)},
       response.m_status < 300 ? "OK" : "Refused"});
@@ -82,7 +85,10 @@
     builder.append_header(std::move(name), std::move(value));
   }
   builder.set_body(std::move(response.m_body));
-  builder.done();
+  builder.done([after_write = std::move(after_write)](const auto&) {
+    // An error is the client's leaving; nothing is left to be written to it.
+    after_write();
+  });
 }
 
 }  // namespace
@@ -115,6 +121,8 @@
     m_server.close_async([] {}, [](const std::exception_ptr&) {});
   }
 
+  size_t Unwritten() const { return *m_unwritten; }
+
   void Reopen(FailureHandler on_failure) {
     m_server.open_async([] {}, std::move(on_failure));
   }
@@ -160,15 +168,22 @@
       refusal.m_status = 413;
       refusal.m_body = R"({"error":"body_too_large","limit_bytes":)" +
                        std::to_string(limits.m_most_body_bytes) + "}";
-      Send(from, std::move(refusal));
+      Answer(from, std::move(refusal));
       return;
     }
-    m_handler(ToRequest(*from), [from](HttpResponse response) {
-      Send(from, std::move(response));
+    m_handler(ToRequest(*from), [this, from](HttpResponse response) {
+      Answer(from, std::move(response));
     });
   }
 
+  void Answer(const rest::request_handle_t& to, HttpResponse response) {
+    ++*m_unwritten;
+    Send(to, std::move(response), [unwritten = m_unwritten] { --*unwritten; });
+  }
+
   Handler m_handler;
+  /// Shared with callbacks that may run after this has gone.
+  std::shared_ptr<size_t> m_unwritten = std::make_shared<size_t>(0);
   rest::http_server_t<Traits> m_server;
 };
 
@@ -191,6 +206,10 @@
   m_impl->Stop();
 }
 
+size_t HttpServer::Unwritten() const {
+  return m_impl->Unwritten();
+}
+
 void HttpServer::Reopen(FailureHandler on_failure) {
   m_impl->Reopen(std::move(on_failure));
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -43,6 +43,9 @@
   /// Accepts no more connections.
   void Stop();
 
+  /// Answers that were handed over and are not yet written whole.
+  size_t Unwritten() const;
+
   /// Accepts connections again after Stop; on_failure runs where it cannot.
   void Reopen(FailureHandler on_failure);
 
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -16,18 +16,11 @@
 #include "platform/store_client.h"
 #include "proxy/decision_log.h"
 #include "standin/store_standin.h"
+#include "tests/free_port_func.h"
 
 namespace sorrelplank::platform {
 namespace {
 
-/// A port that nobody uses at the moment.
-uint16_t FreePort() {
-  asio::io_context io;
-  const asio::ip::tcp::acceptor acceptor(
-      io, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-  return acceptor.local_endpoint().port();
-}
-
 /// A stand-in store and a watch on it, over loopback.
 struct WatchFixture {
   asio::io_context m_io{1};
