Tell the time of requests apart by the region of the server

Ruled out: full servers (slots were free), the retry allowance (sends 0). Change: RegionTimes keeps the mean time in a slot by region; the way is the difference of the shortest times. The line of a server counts ends a second by the work alone.

--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -71,8 +71,8 @@
   return "";
 }
 
-ServerTrack::ServerTrack(ServerEntry entry, TimePoint now)
-    : m_entry(std::move(entry)) {
+ServerTrack::ServerTrack(ServerEntry entry, size_t region, TimePoint now)
+    : m_entry(std::move(entry)), m_region(region) {
   MarkCold(m_entry.m_cold_left, now);
 }
 
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -3,6 +3,7 @@
 #ifndef SORRELPLANK_STEER_SERVER_TRACK_H_
 #define SORRELPLANK_STEER_SERVER_TRACK_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -20,9 +21,11 @@
 /// cost the server work, and their answers may be wrong.
 class ServerTrack {
  public:
-  explicit ServerTrack(ServerEntry entry, TimePoint now);
+  /// The region by the number that Steering gave it.
+  ServerTrack(ServerEntry entry, size_t region, TimePoint now);
 
   const ServerEntry& Entry() const { return m_entry; }
+  size_t Region() const { return m_region; }
   /// Takes a newer entry of the same instance.
   void Update(ServerEntry entry, TimePoint now);
 
@@ -78,6 +81,7 @@
   void CountRejection(const AttemptReport& report, TimePoint now);
 
   ServerEntry m_entry;
+  size_t m_region;
   uint32_t m_own = 0;
   uint32_t m_waiting = 0;
   double m_others = 0;
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -15,10 +15,8 @@
 constexpr double kRejectionSamples = 20;
 /// Change of the own region's share that is worth a log line.
 constexpr double kToldStep = 0.1;
-/// Answers that the mean goes over.
-constexpr int kMeanSamples = 20;
 /// Milliseconds; keeps the first answers from promising too much.
-constexpr double kLeastUsual = 50;
+constexpr double kLeastWork = 50;
 /// Part of a server's ends that is expected where none of ours are under way.
 constexpr double kLeastPart = 0.6;
 
@@ -30,12 +28,12 @@
     : m_own(own),
       m_by_region(regions),
       m_shares(regions, own),
-      m_retries(retry_window) {}
+      m_retries(retry_window),
+      m_times(regions) {}
 
-void SteeredService::AddServer(const std::shared_ptr<ServerTrack>& server,
-                               size_t region) {
+void SteeredService::AddServer(const std::shared_ptr<ServerTrack>& server) {
   m_servers[server->Entry().m_instance] = server;
-  m_by_region[region].push_back(server.get());
+  m_by_region[server->Region()].push_back(server.get());
 }
 
 void SteeredService::RemoveServer(const std::string& instance) {
@@ -49,7 +47,8 @@
   m_servers.erase(it);
 }
 
-void SteeredService::CountEnd(const AttemptReport& report) {
+void SteeredService::CountEnd(const ServerTrack& server,
+                              const AttemptReport& report) {
   const bool has_free_slot =
       report.m_load && report.m_load->m_running < report.m_load->m_slots;
   const bool is_rejected =
@@ -57,27 +56,25 @@
   m_rejections += ((is_rejected ? 1 : 0) - m_rejections) / kRejectionSamples;
   if (report.m_end == AttemptEnd::kAnswered) {
     m_latency.Add(report.m_latency);
-    m_mean_latency =
-        m_mean_latency == Duration::zero()
-            ? report.m_latency
-            : m_mean_latency +
-                  (report.m_latency - m_mean_latency) / kMeanSamples;
+    m_times.Add(server.Region(), report, server.Entry().m_slots);
   }
 }
 
 LineState SteeredService::Line(const ServerTrack* server, TimePoint now) const {
   LineState line;
-  line.m_usual_latency = m_mean_latency;
   if (server == nullptr) {
+    line.m_usual_latency = m_times.Usual(m_own);
     return line;
   }
+  line.m_usual_latency = m_times.Usual(server->Region());
   line.m_ahead = server->Waiting();
-  const double usual_s =
-      std::max(kLeastUsual, ToMilliseconds(m_mean_latency)) / 1000;
+  const double work_s =
+      std::max(kLeastWork, ToMilliseconds(m_times.Work(server->Region()))) /
+      1000;
   // Slots that come free go to whoever sends first: to us by our part.
   const double occupancy = std::max(1.0, server->Occupancy(now));
   const double part = std::max(kLeastPart, server->InFlight() / occupancy);
-  line.m_ends_per_second = server->Entry().m_slots * part / usual_s;
+  line.m_ends_per_second = server->Entry().m_slots * part / work_s;
   return line;
 }
 
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -15,6 +15,7 @@
 #include "core/time_type.h"
 #include "steer/admission.h"
 #include "steer/region_shares.h"
+#include "steer/region_times.h"
 #include "steer/retry_allowance.h"
 #include "steer/server_track.h"
 
@@ -29,14 +30,14 @@
   /// Regions are numbered by the caller; own is this VM's.
   SteeredService(size_t regions, size_t own, Duration retry_window);
 
-  void AddServer(const std::shared_ptr<ServerTrack>& server, size_t region);
+  void AddServer(const std::shared_ptr<ServerTrack>& server);
   void RemoveServer(const std::string& instance);
   const std::vector<ServerTrack*>& ServersOf(size_t region) const {
     return m_by_region[region];
   }
 
   /// Notes the end of a send.
-  void CountEnd(const AttemptReport& report);
+  void CountEnd(const ServerTrack& server, const AttemptReport& report);
   UsualService Usual() const { return {m_latency.Get(), m_rejections}; }
   /// The line at a server; at none where it is nullptr.
   LineState Line(const ServerTrack* server, TimePoint now) const;
@@ -65,9 +66,7 @@
   RetryAllowance m_retries;
   std::list<RequestId> m_waiting;
   QuantileTrack m_latency{0.5};
-  /// Mean; beside the median it counts requests on objects that are not warm,
-  /// which a waiting request may turn out to be.
-  Duration m_mean_latency{};
+  RegionTimes m_times;
   double m_rejections = 0;
 };
 
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -87,10 +87,10 @@
   if (region >= m_regions.size()) {
     return;
   }
-  const auto server = std::make_shared<ServerTrack>(entry, now);
+  const auto server = std::make_shared<ServerTrack>(entry, region, now);
   m_servers[entry.m_instance] = server;
   m_servers_by_hash[HashName(entry.m_instance)] = server;
-  Service(entry.m_service).AddServer(server, region);
+  Service(entry.m_service).AddServer(server);
 }
 
 void Steering::RemoveServer(const std::string& instance, TimePoint) {
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -163,16 +163,17 @@
   if (live == request.m_live.end()) {
     return;
   }
-  CountEnd(*live->m_server, report, now);
+  const std::shared_ptr<ServerTrack> server = live->m_server;
+  CountEnd(*server, report, now);
   if (report.m_end == AttemptEnd::kWrongInstance) {
-    live->m_server->MarkGone();
+    server->MarkGone();
   }
   request.m_live.erase(live);
   if (report.m_end == AttemptEnd::kNotSent) {
     --request.m_arrivals;
   }
   SteeredService& service = Service(request.m_service);
-  service.CountEnd(report);
+  service.CountEnd(*server, report);
   if (report.m_end == AttemptEnd::kAnswered) {
     CancelLive(request, false, now);
     m_sink(ForwardServerAnswer{id, attempt});
--- a/tests/load_exchange_test.cc
+++ b/tests/load_exchange_test.cc
@@ -99,7 +99,7 @@
 
 // A report that this VM received itself is newer than what it is told.
 Test(LoadExchange, OlderLoad_Told_ChangesNothing) {
-  ServerTrack server({"a", "s", {1, 80}, "d1", 2, false, {}}, TimePoint());
+  ServerTrack server({"a", "s", {1, 80}, "d1", 2, false, {}}, 0, TimePoint());
   const TimePoint now(seconds(10));
   server.TakeReport({.m_running = 1}, Duration::zero(), now);
   server.TakeReport({.m_running = 9}, milliseconds(300),
