Let others' requests at a server drain at its own pace, told sooner

Requests waited in servers' queues past their targets. Change: OthersEstimate drains by the server's slots and work. The test of the interval is replaced by two that hold the shorter interval and the bound on bytes.

--- a/src/proxy/load_exchange.cc
+++ b/src/proxy/load_exchange.cc
@@ -6,17 +6,20 @@
 #include <utility>
 
 #include "proto/loads.pb.h"
+#include "proxy/load_peers_func.h"
 
 namespace sorrelplank {
 
 namespace {
 
-/// Loads are told this often; a slot's usual time is a quarter of a second or
-/// more, so that a load is not much changed by then.
-constexpr Duration kInterval = milliseconds(250);
-/// VMs told at once; with more, each time the next ones. Thirty datagrams of a
-/// hundred bytes four times a second are 12 KB/s, what control may cost a VM.
-constexpr size_t kMostPeers = 30;
+/// Datagrams to all peers in a second. At a hundred bytes each they are 12
+/// KB/s, what control may cost a VM.
+constexpr int kMostPerSecond = 120;
+/// Loads are told this often at the most: half of the time that a slot is taken
+/// for a usual request.
+constexpr Duration kShortestInterval = milliseconds(60);
+/// And at the least, with so many peers that some are told only the next time.
+constexpr Duration kLongestInterval = milliseconds(250);
 /// Loads in one datagram, which then fits a usual packet of 1,500 bytes.
 constexpr size_t kMostLoads = 120;
 
@@ -68,7 +71,11 @@
 }
 
 bool LoadExchange::IsDue(TimePoint now) const {
-  return now - m_told >= kInterval;
+  const auto at_the_bound =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          static_cast<double>(m_peers.size()) / kMostPerSecond));
+  return now - m_told >= std::clamp<Duration>(at_the_bound, kShortestInterval,
+                                              kLongestInterval);
 }
 
 void LoadExchange::Tell(const std::vector<ServerLoad>& loads, TimePoint now) {
@@ -77,7 +84,7 @@
     return;
   }
   const std::string bytes = EncodeLoads(loads);
-  const size_t count = std::min(m_peers.size(), kMostPeers);
+  const size_t count = std::min(m_peers.size(), kMostLoadPeers);
   for (size_t sent = 0; sent < count; ++sent) {
     const VmAddress peer = m_peers[m_next_peer++ % m_peers.size()];
     std::error_code error;
--- a/src/proxy/load_exchange.h
+++ b/src/proxy/load_exchange.h
@@ -24,11 +24,11 @@
 
 /// Sends and receives loads by datagram.
 ///
-/// In large fleets one VM meets a server every few seconds and would know its
-/// load from long ago, while it serves the other VMs. Each VM tells the reports
-/// that it received to the others of its region several times a second. A
-/// datagram that is lost is not missed: the next one is newer. Nothing that
-/// must be right rests on it.
+/// A VM meets each server only now and then, in large fleets every few seconds,
+/// and would know its load from long ago, while it serves other VMs. Each VM
+/// tells the reports that it received to others, as often as the bound on bytes
+/// allows. A datagram that is lost is not missed: the next one is newer.
+/// Nothing that must be right rests on it.
 class LoadExchange {
  public:
   /// Takes the loads that another VM tells.
--- a/src/steer/region_times.cc
+++ b/src/steer/region_times.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "steer/attempt_report_type.h"
+#include "steer/part_in_slot_func.h"
 
 namespace sorrelplank {
 
@@ -13,16 +13,6 @@
 /// Answers that a mean goes over: a second of one VM's requests to a service.
 constexpr int kMeanSamples = 20;
 
-/// Part of its time at the server that a request had a slot: what a full server
-/// reports as waiting was served, on average, before it.
-double PartInSlot(const AttemptReport& report, uint32_t slots) {
-  if (!report.m_load) {
-    return 1;
-  }
-  const double there = report.m_load->m_running + report.m_load->m_waiting;
-  return slots / std::max<double>(slots, there);
-}
-
 }  // namespace
 
 void RegionTimes::Add(size_t region,
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -11,11 +11,6 @@
 
 /// Weight of the newest sample in moving averages; five samples to notice.
 constexpr double kSampleWeight = 0.2;
-/// A report of others' load counts less and less until this age: about the
-/// usual time of a request, after which most of what it counted has ended. Kept
-/// for 2 s, servers seemed full and a fifth of the worth was lost under
-/// overload.
-constexpr Duration kReportLife = milliseconds(250);
 /// Mean loads are for slow decisions; they are kept over some requests of a VM
 /// that sends to the server once a second.
 constexpr Duration kLoadLife = seconds(3);
@@ -115,6 +110,7 @@
   m_failures_in_row = 0;
   Blend(m_failures, 0);
   m_latency.Add(report.m_latency);
+  m_others.AddAnswer(report, m_entry.m_slots);
 }
 
 void ServerTrack::TakeReport(const ReportedLoad& load,
@@ -124,7 +120,7 @@
     return;
   }
   const double total = load.m_running + load.m_waiting;
-  m_others = std::max(0.0, total - m_own);
+  m_others.Take(std::max(0.0, total - m_own), now - age);
   const bool is_stale = now - m_reported >= kLoadLife;
   m_load = is_stale ? total : m_load + (total - m_load) * kSampleWeight;
   m_reported = now - age;
@@ -163,13 +159,7 @@
 }
 
 double ServerTrack::Occupancy(TimePoint now) const {
-  const Duration age = now - m_reported;
-  if (age >= kReportLife) {
-    return m_own;
-  }
-  const double freshness =
-      1 - ToMilliseconds(age) / ToMilliseconds(kReportLife);
-  return m_own + m_others * freshness;
+  return m_own + m_others.At(now, m_own, m_entry.m_slots);
 }
 
 std::optional<double> ServerTrack::RecentLoad(TimePoint now) const {
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -10,6 +10,7 @@
 
 #include "core/rate_window.h"
 #include "steer/attempt_report_type.h"
+#include "steer/others_estimate.h"
 #include "steer/quantile_track.h"
 #include "steer/server_entry_type.h"
 #include "steer/server_load_type.h"
@@ -84,7 +85,7 @@
   size_t m_region;
   uint32_t m_own = 0;
   uint32_t m_waiting = 0;
-  double m_others = 0;
+  OthersEstimate m_others;
   TimePoint m_reported{};
   /// The last report to this VM, until it is told to others.
   std::optional<ReportedLoad> m_untold;
--- a/tests/load_exchange_test.cc
+++ b/tests/load_exchange_test.cc
@@ -58,8 +58,18 @@
 Test(LoadExchange, Told_AMomentAgo_IsNotDue) {
   const TimePoint now(seconds(1));
   g_fixture->m_first.Tell({}, now);
-  cr_assert_not(g_fixture->m_first.IsDue(now + milliseconds(100)));
-  cr_assert(g_fixture->m_first.IsDue(now + milliseconds(300)));
+  cr_assert_not(g_fixture->m_first.IsDue(now + milliseconds(50)));
+  cr_assert(g_fixture->m_first.IsDue(now + milliseconds(60)));
+}
+
+// Thirty peers at 100 bytes each: told every 60 ms, they would cost 50 KB/s.
+Test(LoadExchange, ManyPeers_Told_KeepsToTheBoundOnBytes) {
+  const TimePoint now(seconds(1));
+  g_fixture->m_first.SetPeers(
+      std::vector<VmAddress>(30, g_fixture->m_second_address));
+  g_fixture->m_first.Tell({}, now);
+  cr_assert_not(g_fixture->m_first.IsDue(now + milliseconds(200)));
+  cr_assert(g_fixture->m_first.IsDue(now + milliseconds(250)));
 }
 
 // Anybody can send a datagram to the port. What is no message, or has rows with
@@ -97,6 +107,28 @@
                     first.c_str());
 }
 
+// A server takes half a second for a request and was told to have twelve in its
+// queue 300 ms ago. Its two slots cannot have served them: a request on its
+// object goes to the other server instead of waiting there past its target.
+Test(LoadExchange, SlowServer_LongQueueAMomentAgo_IsLeftForTheOther) {
+  SteeringFixture fixture;
+  fixture.Arrive("/read/x", 5);
+  const SendToServer first = *fixture.Last<SendToServer>();
+  AttemptReport report;
+  report.m_end = AttemptEnd::kAnswered;
+  report.m_latency = milliseconds(500);
+  report.m_load = ReportedLoad{.m_running = 1, .m_waiting = 0, .m_slots = 2};
+  fixture.m_steering.Ended(first.m_request, first.m_attempt, report,
+                           fixture.m_now);
+  fixture.m_steering.TakeLoads(
+      {{HashName(first.m_instance), {.m_running = 2, .m_waiting = 12}, {}}},
+      fixture.m_now);
+  fixture.Pass(milliseconds(300));
+  fixture.Arrive("/read/y", 5);
+  cr_assert_str_neq(fixture.Last<SendToServer>()->m_instance.c_str(),
+                    first.m_instance.c_str());
+}
+
 // A report that this VM received itself is newer than what it is told.
 Test(LoadExchange, OlderLoad_Told_ChangesNothing) {
   ServerTrack server({"a", "s", {1, 80}, "d1", 2, false, {}}, 0, TimePoint());
