--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -43,8 +43,8 @@
 /// then taken at once, instead of after the answer's way back and the next
 /// request's way there. Worth of the answers to their callers, of the most
 /// possible, over five days with six seeds each: 0.580 with none, 0.592 and
-/// 0.602 with one (two runs), 0.591 with two, 0.577 with three, which wait longer
-/// at a server that another one could have relieved.
+/// 0.602 with one (two runs), 0.591 with two, 0.577 with three, which wait
+/// longer at a server that another one could have relieved.
 constexpr double kAtHand = 1;
 /// A cold server's own time is uncertain by the age of its entry.
 constexpr Duration kColdMargin = milliseconds(500);
