--- a/src/steer/others_estimate.cc
+++ b/src/steer/others_estimate.cc
@@ -17,7 +17,8 @@
 /// How much faster than its slots allow a queue is taken to empty. A slot that
 /// idles because a queue is thought to be longer than it is costs more than a
 /// request too many in the queue. Worth of the answers to their callers, of the
-/// most possible, with 1.5, 2.5 and 4: see docs/LAKESHORE.md.
+/// most possible, over five days with six seeds each: 0.570 with 1.5, 0.581
+/// with 2.5, 0.573 with 4.
 constexpr double kHaste = 2.5;
 
 }  // namespace
