Test that a closed client port opens again

Ruled out: a port that stays closed; it opens 0.1 to 2.7 s after the first VM's. Change: HttpServer Stopped_Reopened_AnswersAgain. No product code is changed. Conclusion: works as meant.

--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <asio.hpp>
 #include <chrono>
+#include <exception>
 #include <memory>
 #include <string>
 
@@ -33,14 +34,20 @@
                       }};
   asio::ip::tcp::socket m_client{m_io};
 
+  asio::ip::tcp::endpoint Address() const {
+    return {asio::ip::make_address("127.0.0.1"), m_port};
+  }
+
   void Ask() {
-    m_client.connect({asio::ip::make_address("127.0.0.1"), m_port});
+    m_client.connect(Address());
     asio::write(m_client,
                 asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
   }
 
   /// Runs the server until nothing happens for a moment.
   void RunUntilIdle() {
+    // It stops by itself whenever nothing is open.
+    m_io.restart();
     while (m_io.run_one_for(std::chrono::milliseconds(200)) > 0) {
     }
   }
@@ -87,6 +94,22 @@
   cr_assert_eq(g_fixture->m_server.Unwritten(), 0);
 }
 
+// A VM that knows no routing table closed its port and has one now. Clients
+// that were turned away find it open again.
+Test(HttpServer, Stopped_Reopened_AnswersAgain) {
+  g_fixture->m_server.Stop();
+  g_fixture->RunUntilIdle();
+  std::error_code refused;
+  g_fixture->m_client.connect(g_fixture->Address(), refused);
+  cr_assert(refused);
+  g_fixture->m_client.close();
+  g_fixture->m_server.Reopen(
+      [](const std::exception_ptr&) { cr_assert_fail("cannot listen"); });
+  g_fixture->RunUntilIdle();
+  g_fixture->Ask();
+  cr_assert_gt(g_fixture->ReadAll(), kLongBody);
+}
+
 // The client leaves in the middle. Nothing is left to wait for.
 Test(HttpServer, LongAnswer_ClientLeaves_NothingIsLeft) {
   g_fixture->Ask();
