Tell what moves a service's split over regions, and where requests go

Cause: the lines at hand could not tell the hypotheses of the incident apart: the split was told in steps of a tenth, without the loads that moved it; sends did not name the server's region, and no count did. Ruled out: a line per request or a trace; the volume stays bounded: a line a second for each service while the split moves at its full speed. Change: `own_region_share` in steps of 0.05 with the own load and the least load elsewhere; `region` on `send`; the counter `sorrelplank_sends_total` by service and region. No decision changes.

--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -192,11 +192,13 @@
               {{"request", open.m_id},
                {"attempt", static_cast<int64_t>(action.m_attempt.Get())},
                {"server", action.m_instance},
+               {"region", action.m_region},
                {"object", open.m_request.Header(m_names.m_object).value_or("")},
                {"under_way_there", action.m_occupancy},
                {"waited_ms", LogMs(action.m_waited)},
                {"time_left_ms", LogMs(action.m_time_left)},
                {"config", static_cast<int64_t>(action.m_table_version)}});
+  m_metrics.CountSend(action.m_service, action.m_region);
   ServerSend send;
   send.m_bytes = BuildBytes(open, action);
   send.m_request_id = open.m_id;
@@ -280,6 +282,14 @@
               {{"subject", action.m_subject}, {"value", action.m_value}});
 }
 
+void Front::Run(const SplitMoved& action) {
+  m_log.Write("own_region_share",
+              {{"service", action.m_service},
+               {"share", action.m_own_share},
+               {"own_load", action.m_own_load},
+               {"least_load_elsewhere", action.m_least_load_elsewhere}});
+}
+
 void Front::Answer(RequestId request,
                    HttpResponse response,
                    const char* outcome) {
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -59,6 +59,7 @@
   void Run(const ForwardServerAnswer& action);
   void Run(const RefuseRequest& action);
   void Run(const BeliefChanged& action);
+  void Run(const SplitMoved& action);
 
   std::string BuildBytes(const Open& open, const SendToServer& action) const;
   void SendEnded(RequestId request, AttemptId attempt, ServerReply reply);
--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -33,6 +33,11 @@
                        .Help("Time of one send to a backend server")
                        .Labels(m_labels)
                        .Register(m_registry)),
+        m_sends(prom::BuildCounter()
+                    .Name("sorrelplank_sends_total")
+                    .Help("Requests sent, by service and region of the server")
+                    .Labels(m_labels)
+                    .Register(m_registry)),
         m_gauges(prom::BuildGauge()
                      .Name("sorrelplank_state")
                      .Help("Present values, by name")
@@ -47,6 +52,7 @@
   prom::Labels m_labels;
   prom::Family<prom::Histogram>& m_answers;
   prom::Family<prom::Histogram>& m_attempts;
+  prom::Family<prom::Counter>& m_sends;
   prom::Family<prom::Gauge>& m_gauges;
 };
 
@@ -60,6 +66,11 @@
       .Observe(ToMilliseconds(time) / 1000);
 }
 
+void ProxyMetrics::CountSend(const std::string& service,
+                             const std::string& region) {
+  m_impl->m_sends.Add({{"service", service}, {"region", region}}).Increment();
+}
+
 void ProxyMetrics::CountAttempt(const char* end, Duration time) {
   m_impl->m_attempts.Add({{"end", end}}, kSecondsBuckets)
       .Observe(ToMilliseconds(time) / 1000);
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -34,6 +34,8 @@
 
   /// A request was answered; outcome: "forwarded" or a refusal's name.
   void CountAnswer(const std::string& outcome, Duration time);
+  /// A request was sent to a backend server of the region.
+  void CountSend(const std::string& service, const std::string& region);
   /// A send ended.
   void CountAttempt(const char* end, Duration time);
 
--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace sorrelplank {
 
@@ -82,6 +83,17 @@
   }
 }
 
+double RegionShares::LeastLoadElsewhere() const {
+  std::optional<double> least;
+  for (size_t region = 0; region < m_loads.size(); ++region) {
+    const RegionLoad& load = m_loads[region];
+    if (region != m_own && load.m_slots > 0) {
+      least = std::min(least.value_or(load.m_utilisation), load.m_utilisation);
+    }
+  }
+  return least.value_or(0);
+}
+
 void RegionShares::SetByCapacity() {
   std::fill(m_shares.begin(), m_shares.end(), 0);
   m_shares[m_own] = 1;
--- a/src/steer/region_shares.h
+++ b/src/steer/region_shares.h
@@ -59,6 +59,10 @@
   size_t RegionOf(uint64_t object, Mask allowed) const;
 
   double Share(size_t region) const { return m_shares[region]; }
+  /// The loads that the last update was given.
+  double OwnLoad() const { return m_loads[m_own].m_utilisation; }
+  /// Of the other regions that have slots; 0 where there is none.
+  double LeastLoadElsewhere() const;
 
  private:
   size_t BestRegion(uint64_t object,
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -23,6 +23,10 @@
   VmAddress m_address;
   Duration m_time_left{};
   bool m_idempotent = false;
+  /// For logs and counts.
+  std::string m_service;
+  /// The server's region.
+  std::string m_region;
   /// What decided, for logs: requests under way there, time since arrival, and
   /// the table's version.
   double m_occupancy = 0;
@@ -63,11 +67,23 @@
   double m_value = 0;
 };
 
+/// Nothing to do: a service's split over regions moved, for logs.
+struct SplitMoved {
+  std::string m_service;
+  /// Part of the objects that the own region runs.
+  double m_own_share = 1;
+  /// Requests under way and waiting per slot.
+  double m_own_load = 0;
+  /// The same of the least loaded other region that has slots.
+  double m_least_load_elsewhere = 0;
+};
+
 using SteerAction = std::variant<SendToServer,
                                  CancelSend,
                                  ForwardServerAnswer,
                                  RefuseRequest,
-                                 BeliefChanged>;
+                                 BeliefChanged,
+                                 SplitMoved>;
 
 }  // namespace sorrelplank
 
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -13,8 +13,10 @@
 
 /// Sends after which a change of the part that is rejected shows.
 constexpr double kRejectionSamples = 20;
-/// Change of the own region's share that is worth a log line.
-constexpr double kToldStep = 0.1;
+/// Change of the own region's share that is worth a log line: about what a
+/// second may move. In steps of a tenth, two lines a second apart could not
+/// tell the allowed speed from twice of it.
+constexpr double kToldStep = 0.05;
 /// Milliseconds; keeps the first answers from promising too much.
 constexpr double kLeastWork = 50;
 /// Part of a server's ends that is expected where none of ours are under way.
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -51,7 +51,7 @@
 
   RegionShares& Shares() { return m_shares; }
   const RegionShares& Shares() const { return m_shares; }
-  /// The own region's share if it has changed much since it was last told.
+  /// The own region's share if it has changed much since this last told it.
   std::optional<double> ShareToTell();
   RetryAllowance& Retries() { return m_retries; }
   /// Waiting requests in the order in which they are served.
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -360,7 +360,9 @@
                           now);
     const auto share = service->ShareToTell();
     if (share) {
-      m_sink(BeliefChanged{"own_region_share", name, *share});
+      const RegionShares& shares = service->Shares();
+      m_sink(SplitMoved{name, *share, shares.OwnLoad(),
+                        shares.LeastLoadElsewhere()});
     }
   }
 }
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -144,7 +144,8 @@
   ++request.m_arrivals;
   m_sink(SendToServer{request.m_facts.m_request, attempt, entry.m_instance,
                       entry.m_address, request.m_finish_by - now,
-                      request.m_route->m_idempotent, server->Occupancy(now),
+                      request.m_route->m_idempotent, request.m_service,
+                      m_regions[server->Region()], server->Occupancy(now),
                       now - request.m_arrived, request.m_table->m_version});
 }
 
