--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 test: build format lint wire-names unit check-examples
 
 unit:
+	@scripts/known_red.sh print KNOWN-RED.txt
 	@cd $(BUILD) && ctest --output-on-failure -j 4
 
 demo: build
