Test backend servers that start again under their id, and foreign entries, failing

A backend server may start again under the id that it had, told by the Unix time of its start; all that was known of the old run, its kept connections and sends under way, is then void. And something else may write where servers register: missing fields, other types, unknown states, bytes that can't be read. Ruled out: nothing yet. Change: tests of both, a field for the start and the outcome of taking an entry, without use. One test's entry lacked fields that the platform always writes; it is complete now, as such entries are to be refused.

--- a/src/steer/server_entry_type.h
+++ b/src/steer/server_entry_type.h
@@ -4,6 +4,7 @@
 #define SORRELPLANK_STEER_SERVER_ENTRY_TYPE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/time_type.h"
@@ -11,7 +12,8 @@
 
 namespace sorrelplank {
 
-/// One run of a backend server; a restart is a new one under a new id.
+/// One run of a backend server. A restart is another run, under another id or
+/// under the same one with a later start.
 struct ServerEntry {
   std::string m_instance;
   std::string m_service;
@@ -21,6 +23,8 @@
   bool m_leaving = false;
   /// How much longer it stays cold, as of the writing of the entry.
   Duration m_cold_left{};
+  /// Unix time of the run's start; absent where the server does not tell it.
+  std::optional<milliseconds> m_started;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -77,20 +77,21 @@
   }
 }
 
-void Steering::PutServer(const ServerEntry& entry, TimePoint now) {
+ServerChange Steering::PutServer(const ServerEntry& entry, TimePoint now) {
   const auto it = m_servers.find(entry.m_instance);
   if (it != m_servers.end()) {
     it->second->Update(entry, now);
-    return;
+    return ServerChange::kUpdated;
   }
   const size_t region = RegionOf(entry.m_failure_domain);
   if (region >= m_regions.size()) {
-    return;
+    return ServerChange::kUnknownDomain;
   }
   const auto server = std::make_shared<ServerTrack>(entry, region, now);
   m_servers[entry.m_instance] = server;
   m_servers_by_hash[HashName(entry.m_instance)] = server;
   Service(entry.m_service).AddServer(server);
+  return ServerChange::kAdded;
 }
 
 void Steering::RemoveServer(const std::string& instance, TimePoint) {
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -16,6 +16,7 @@
 #include "steer/even_dealer.h"
 #include "steer/route_index.h"
 #include "steer/routing_table_type.h"
+#include "steer/server_change_type.h"
 #include "steer/server_load_type.h"
 #include "steer/server_picker.h"
 #include "steer/steer_action_type.h"
@@ -35,7 +36,7 @@
 
   // What is known. Each takes effect for waiting requests too.
   void Install(std::shared_ptr<const RoutingTable> table, TimePoint now);
-  void PutServer(const ServerEntry& entry, TimePoint now);
+  ServerChange PutServer(const ServerEntry& entry, TimePoint now);
   void RemoveServer(const std::string& instance, TimePoint now);
   void SetEvacuated(const std::set<std::string>& domains, TimePoint now);
   void SetFleet(std::vector<FleetMember> fleet, TimePoint now);
--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <nlohmann/json.hpp>
+#include <string>
+
 #include "platform/decode_func.h"
 #include "platform/store_client.h"
 
@@ -82,6 +85,79 @@
   cr_assert_eq(server.m_address.m_port, 8080);
 }
 
+Test(PlatformDecode, Server_WithStart_TellsWhichRunItIs) {
+  const ServerEntry server =
+      DecodeServer("i-1", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"d1",
+                 "Version":"v1","Slots":6,"State":"draining","ColdLeftS":0,
+                 "Sequence":4,"born":1792250284924})");
+  cr_assert(server.m_leaving);
+  cr_assert_eq(server.m_started->count(), 1792250284924);
+}
+
+// Something else writes where backend servers register. Taken as a server with
+// zero values for what is wrong, its requests would go to nowhere or to a
+// server that is leaving.
+Test(PlatformDecode, Server_FieldMissingOrOfAnotherType_IsAnError) {
+  const nlohmann::json sound = {
+      {"Service", "s"},       {"Address", "10.0.0.9:80"},
+      {"Zone", "d1"},         {"Version", "v1"},
+      {"Slots", 6},           {"State", "ready"},
+      {"ColdLeftS", 0.5},     {"Sequence", 4},
+      {"born", 1792250284924}};
+  cr_assert_eq(DecodeServer("i-1", sound.dump()).m_slots, 6);
+  for (const auto& [name, value] : sound.items()) {
+    nlohmann::json entry = sound;
+    if (name != "born") {
+      entry.erase(name);
+      cr_assert_throw(DecodeServer("i-1", entry.dump()), DecodeError,
+                      "%s is missing", name.c_str());
+    }
+    for (const nlohmann::json& other :
+         {nlohmann::json(nullptr), nlohmann::json(true), nlohmann::json({1}),
+          nlohmann::json::object(), nlohmann::json(-1)}) {
+      entry[name] = other;
+      cr_assert_throw(DecodeServer("i-1", entry.dump()), DecodeError,
+                      "%s is %s", name.c_str(), other.dump().c_str());
+    }
+  }
+}
+
+Test(PlatformDecode, Server_ValuesThatNameNoServer_AreErrors) {
+  const auto decode = [](const std::string& slots, const std::string& state,
+                         const std::string& rest) {
+    DecodeServer("i-1", R"({"Service":"s","Address":"10.0.0.9:80","Zone":"d1",
+                            "Version":"v1","ColdLeftS":0,"Sequence":4,"Slots":)" +
+                            slots + R"(,"State":")" + state + "\"" + rest +
+                            "}");
+  };
+  decode("6", "ready", "");
+  cr_assert_throw(decode("6", "asleep", ""), DecodeError);
+  cr_assert_throw(decode("0", "ready", ""), DecodeError);
+  cr_assert_throw(decode("2.5", "ready", ""), DecodeError);
+  cr_assert_throw(decode("6", "ready", R"(,"born":1.5)"), DecodeError);
+  cr_assert_throw(decode("6", "ready", R"(,"born":"1792250284924")"),
+                  DecodeError);
+  for (const char* text : {"", "{", "[]", "7", "\xff\xfe", "null"}) {
+    cr_assert_throw(DecodeServer("i-1", text), DecodeError);
+  }
+}
+
+// One value of a page is not base64. The page was dropped whole, read again,
+// and dropped again: this VM learned nothing more from the store.
+Test(PlatformDecode, StoreRead_OneValueUnreadable_OthersHold) {
+  HttpResult result;
+  result.m_end = FetchEnd::kAnswered;
+  result.m_response.m_body = R"({"items":[
+      {"Key":"servers/a","Value":"%%%","Rev":3},
+      {"Key":"servers/b","Value":"eHl6","Rev":4}],
+      "HasMore":false,"StoreRevision":9})";
+  const StoreRead read = DecodeRead(result, "items");
+  cr_assert_eq(read.m_end, StoreEnd::kDone);
+  cr_assert_eq(read.m_items.size(), 2);
+  cr_assert_throw(DecodeServer("a", read.m_items[0].m_value), DecodeError);
+  cr_assert_str_eq(read.m_items[1].m_value.c_str(), "xyz");
+}
+
 Test(PlatformDecode, Member_EncodedAndDecoded_IsTheSame) {
   const FleetMember member{"vm-1", "10.0.0.1:80", "d1", "r1"};
   const FleetMember same = DecodeMember(EncodeMember(member));
--- a/tests/store_knowledge_test.cc
+++ b/tests/store_knowledge_test.cc
@@ -63,6 +63,15 @@
                              "Services":{"Columns":[],"Rows":[]}})");
   }
 
+  void PutSoundServer(const std::string& instance) {
+    Put("servers/" + instance,
+        R"({"Service":"s","Address":"1.2.3.4:80","Zone":"d1","Version":"v1",
+            "Slots":2,"State":"ready","ColdLeftS":0,"Sequence":1,
+            "born":1792250284924})");
+  }
+
+  size_t Servers() const { return m_front->Decisions().ServerCount(); }
+
   uint64_t Version() const { return m_front->Decisions().Table()->m_version; }
 };
 
@@ -93,8 +102,7 @@
 }
 
 Test(StoreKnowledge, Server_DamagedEntry_IsLeftOut) {
-  g_fixture->Put("servers/i-1", R"({"Service":"s","Address":"1.2.3.4:80",
-                                    "Zone":"d1","Slots":2,"State":"ready"})");
+  g_fixture->PutSoundServer("i-1");
   g_fixture->Put("servers/i-2", R"({"Service":"s","Address":"nowhere",
                                     "Zone":"d1"})");
   cr_assert_eq(g_fixture->m_front->Decisions().ServerCount(), 1);
@@ -102,6 +110,25 @@
   cr_assert_eq(g_fixture->m_front->Decisions().ServerCount(), 0);
 }
 
+// Something else writes over the entry of a server that was known. What is read
+// then names no server to send to, whatever was known before; the others hold,
+// and a sound entry brings the server back.
+Test(StoreKnowledge, KnownServer_EntryOverwritten_IsLeftOutUntilSoundAgain) {
+  g_fixture->PutSoundServer("i-1");
+  g_fixture->PutSoundServer("i-2");
+  for (const char* text :
+       {"", "\xff\xfe\x01", "[]", R"({"State":"ready"})",
+        R"({"Service":"s","Address":"1.2.3.4:80","Zone":"d1","Version":"v1",
+            "Slots":"2","State":"ready","ColdLeftS":0,"Sequence":1})",
+        R"({"Service":"s","Address":"1.2.3.4:80","Zone":"d1","Version":"v1",
+            "Slots":2,"State":"resting","ColdLeftS":0,"Sequence":1})"}) {
+    g_fixture->Put("servers/i-1", text);
+    cr_assert_eq(g_fixture->Servers(), 1, "after %s", text);
+    g_fixture->PutSoundServer("i-1");
+    cr_assert_eq(g_fixture->Servers(), 2);
+  }
+}
+
 Test(StoreKnowledge, OwnEntry_Removed_IsTold) {
   const FleetMember own{"vm-1", "10.0.0.1:80", "d1", "r1"};
   g_fixture->Put("fleet/vm-1", EncodeMember(own));
