Tell runs of a backend server apart, and use no entry that names none

Ruled out: asking servers for their start by probes, which cost them work; comparing `Sequence`, which the entry does not carry in every change. An entry without a start is one run for as long as service, address and failure domain stay. Change: an entry with a later start replaces all that was known of the server: kept connections are closed, sends under way end as lost (reads go elsewhere at once, writes are told that they may have run), warmth, failures, rests and reports of the old run no longer count. An entry of an earlier start is ignored.

--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -1,6 +1,7 @@
 /// @file soak_faults.cc Planned work and faults of the world.
 
 #include <csignal>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -22,6 +23,8 @@
 constexpr Duration kLeavingServes = seconds(4);
 /// Entries of servers that crashed are gone after three missed heartbeats.
 constexpr Duration kEntryLapses = milliseconds(4500);
+/// A server that lives writes its entry again within a heartbeat.
+constexpr Duration kHeartbeat = milliseconds(1500);
 
 }  // namespace
 
@@ -128,6 +131,42 @@
   });
 }
 
+void SoakWorld::RestartServerUnderItsId(Random& random) {
+  SoakServer& server = AnyServer(random);
+  const std::string instance = server.Instance();
+  if (!server.IsUp() || m_leaving.contains(instance)) {
+    return;
+  }
+  TroubleAll(seconds(1));
+  server.Crash();
+  const Duration down = Draw(random, milliseconds(100), seconds(4));
+  After(down, [this, &server, instance] {
+    if (!server.IsUp() && server.Instance() == instance) {
+      TroubleAll(seconds(1));
+      server.Restart(instance, server.Spec().m_service);
+      PutServerEntry(server, "ready");
+    }
+  });
+}
+
+void SoakWorld::OverwriteServerEntry(Random& random) {
+  SoakServer& server = AnyServer(random);
+  const std::string instance = server.Instance();
+  if (!server.IsUp() || m_leaving.contains(instance)) {
+    return;
+  }
+  constexpr const char* kForeign[] = {"", "{", "[]", "\xff\xfe\x01",
+                                      R"({"State":"ready"})"};
+  m_store.PutText(platform::kServerPrefix + instance,
+                  kForeign[random() % std::size(kForeign)]);
+  After(kHeartbeat, [this, &server, instance] {
+    const bool is_same = server.IsUp() && server.Instance() == instance;
+    if (is_same && !m_leaving.contains(instance)) {
+      PutServerEntry(server, "ready");
+    }
+  });
+}
+
 void SoakWorld::ReuseAddress(Random& random) {
   SoakServer& server = AnyServer(random);
   if (!server.IsUp()) {
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -43,6 +43,8 @@
     {"store_is_slow", false, &SoakWorld::StoreIsSlow},
     {"store_loses_answers", false, &SoakWorld::StoreLosesAnswers},
     {"store_forgets_history", false, &SoakWorld::StoreForgetsHistory},
+    {"restart_server_under_its_id", false, &SoakWorld::RestartServerUnderItsId},
+    {"overwrite_server_entry", false, &SoakWorld::OverwriteServerEntry},
 };
 
 /// Time from the start of the processes until faults begin.
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "platform/wire_names.h"
+#include "serve/clock_func.h"
 #include "soak/ledger.h"
 
 namespace sorrelplank::soak {
@@ -63,6 +64,7 @@
   m_instance = instance;
   m_spec.m_service = service;
   m_is_up = true;
+  m_started = std::chrono::duration_cast<milliseconds>(WallNow());
   m_proxy.SetFault(LinkFault::kNone);
   m_proxy.SetDelay({});
 }
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -28,7 +28,7 @@
 };
 
 /// Runs requests in slots, with a short queue, and reports each run to the
-/// ledger. One instance at a time; a restart is a new one.
+/// ledger. One instance at a time.
 class SoakServer {
  public:
   /// Told of each request that begins to run: its id and this server.
@@ -47,9 +47,12 @@
 
   /// All that runs is lost, and connections are refused.
   void Crash();
-  /// Serves under a new instance id, and may be of another service.
+  /// Serves as a new run, under a new instance id or the one that it had, and
+  /// may be of another service.
   void Restart(const std::string& instance, const std::string& service);
   bool IsUp() const { return m_is_up; }
+  /// Unix time of the run's start.
+  milliseconds Started() const { return m_started; }
 
  private:
   /// A request that runs or waits for a slot.
@@ -69,6 +72,7 @@
   RunHandler m_on_run;
   std::string m_instance;
   bool m_is_up = false;
+  milliseconds m_started{};
   std::minstd_rand m_random;
   size_t m_running = 0;
   std::list<Work> m_queue;
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -187,10 +187,12 @@
                   json{{"Service", server.Spec().m_service},
                        {"Address", server.Address()},
                        {"Zone", server.Spec().m_failure_domain},
+                       {"Version", "v1"},
                        {"Slots", 4},
                        {"State", state},
                        {"ColdLeftS", 0},
-                       {"Sequence", 1}}
+                       {"Sequence", 1},
+                       {"born", server.Started().count()}}
                       .dump());
 }
 
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -73,6 +73,8 @@
   void StoreIsSlow(Random& random);
   void StoreLosesAnswers(Random& random);
   void StoreForgetsHistory(Random& random);
+  void RestartServerUnderItsId(Random& random);
+  void OverwriteServerEntry(Random& random);
 
  private:
   /// One entry VM.
--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -290,6 +290,11 @@
                {"least_load_elsewhere", action.m_least_load_elsewhere}});
 }
 
+void Front::Run(const ServerRestarted& action) {
+  m_log.Write("server_restarted", {{"server", action.m_instance}});
+  m_pool.Drop(action.m_instance);
+}
+
 void Front::Answer(RequestId request,
                    HttpResponse response,
                    const char* outcome) {
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -60,6 +60,7 @@
   void Run(const RefuseRequest& action);
   void Run(const BeliefChanged& action);
   void Run(const SplitMoved& action);
+  void Run(const ServerRestarted& action);
 
   std::string BuildBytes(const Open& open, const SendToServer& action) const;
   void SendEnded(RequestId request, AttemptId attempt, ServerReply reply);
--- a/src/steer/server_entry_type.h
+++ b/src/steer/server_entry_type.h
@@ -27,6 +27,22 @@
   std::optional<milliseconds> m_started;
 };
 
+/// Whether both tell their start, and the first run's came before the second's.
+inline bool StartedBefore(const ServerEntry& first, const ServerEntry& second) {
+  return first.m_started && second.m_started &&
+         *first.m_started < *second.m_started;
+}
+
+/// Whether both entries may be of one run. A run keeps its service and address;
+/// starts are compared where both tell them.
+inline bool IsSameRun(const ServerEntry& one, const ServerEntry& other) {
+  const bool may_have_same_start =
+      !one.m_started || !other.m_started || *one.m_started == *other.m_started;
+  return may_have_same_start && one.m_service == other.m_service &&
+         one.m_address == other.m_address &&
+         one.m_failure_domain == other.m_failure_domain;
+}
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_STEER_SERVER_ENTRY_TYPE_H_
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -74,11 +74,14 @@
 }
 
 ServerTrack::ServerTrack(ServerEntry entry, size_t region, TimePoint now)
-    : m_entry(std::move(entry)), m_region(region) {
+    : m_entry(std::move(entry)), m_region(region), m_known_since(now) {
   MarkCold(m_entry.m_cold_left, now);
 }
 
 void ServerTrack::Update(ServerEntry entry, TimePoint now) {
+  if (!entry.m_started) {
+    entry.m_started = m_entry.m_started;
+  }
   m_entry = std::move(entry);
   MarkCold(m_entry.m_cold_left, now);
 }
@@ -123,7 +126,7 @@
 void ServerTrack::TakeReport(const ReportedLoad& load,
                              Duration age,
                              TimePoint now) {
-  if (now - age < m_reported) {
+  if (now - age < std::max(m_reported, m_known_since)) {
     return;
   }
   const double total = load.m_running + load.m_waiting;
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -83,6 +83,8 @@
 
   ServerEntry m_entry;
   size_t m_region;
+  /// Reports from before are those of another run.
+  TimePoint m_known_since;
   uint32_t m_own = 0;
   uint32_t m_waiting = 0;
   OthersEstimate m_others;
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -78,12 +78,19 @@
   double m_least_load_elsewhere = 0;
 };
 
+/// A backend server started again: its kept connections are those of the run
+/// before.
+struct ServerRestarted {
+  std::string m_instance;
+};
+
 using SteerAction = std::variant<SendToServer,
                                  CancelSend,
                                  ForwardServerAnswer,
                                  RefuseRequest,
                                  BeliefChanged,
-                                 SplitMoved>;
+                                 SplitMoved,
+                                 ServerRestarted>;
 
 }  // namespace sorrelplank
 
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -79,19 +79,41 @@
 
 ServerChange Steering::PutServer(const ServerEntry& entry, TimePoint now) {
   const auto it = m_servers.find(entry.m_instance);
-  if (it != m_servers.end()) {
-    it->second->Update(entry, now);
-    return ServerChange::kUpdated;
+  const auto known = it == m_servers.end() ? nullptr : it->second;
+  if (known && StartedBefore(entry, known->Entry())) {
+    // A write of a run that is over, which reached the store late. It says
+    // nothing of the run that serves now; one that called a leaving server
+    // ready would send requests to it.
+    return ServerChange::kOlderRun;
   }
   const size_t region = RegionOf(entry.m_failure_domain);
   if (region >= m_regions.size()) {
+    RemoveServer(entry.m_instance, now);
     return ServerChange::kUnknownDomain;
   }
+  if (known && IsSameRun(entry, known->Entry())) {
+    known->Update(entry, now);
+    return ServerChange::kUpdated;
+  }
+  RemoveServer(entry.m_instance, now);
+  AddServer(entry, region, now);
+  if (!known) {
+    return ServerChange::kAdded;
+  }
+  m_sink(ServerRestarted{entry.m_instance});
+  if (StartedBefore(known->Entry(), entry)) {
+    EndSendsTo(*known, now);
+  }
+  return ServerChange::kRestarted;
+}
+
+void Steering::AddServer(const ServerEntry& entry,
+                         size_t region,
+                         TimePoint now) {
   const auto server = std::make_shared<ServerTrack>(entry, region, now);
   m_servers[entry.m_instance] = server;
   m_servers_by_hash[HashName(entry.m_instance)] = server;
   Service(entry.m_service).AddServer(server);
-  return ServerChange::kAdded;
 }
 
 void Steering::RemoveServer(const std::string& instance, TimePoint) {
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -88,6 +88,10 @@
   RegionShares::Mask MaskOf(const RouteRule& route) const;
   const ServiceRules& RulesOf(const std::string& service) const;
 
+  void AddServer(const ServerEntry& entry, size_t region, TimePoint now);
+  /// Ends the sends to a run of a server that is over.
+  void EndSendsTo(const ServerTrack& server, TimePoint now);
+
   /// Starts a request on the table in force.
   void Admit(SteeredRequest& request, TimePoint now);
   /// Sets route and service by the table in force; false without a route.
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -310,6 +310,28 @@
   request.m_live.clear();
 }
 
+void Steering::EndSendsTo(const ServerTrack& server, TimePoint now) {
+  std::vector<std::pair<RequestId, AttemptId>> sends;
+  for (const auto& [id, request] : m_requests) {
+    for (const LiveAttempt& live : request.m_live) {
+      if (live.m_server.get() == &server) {
+        sends.emplace_back(id, live.m_attempt);
+      }
+    }
+  }
+  // The server that runs now knows nothing of them, and their connections may
+  // stay silent. Left alone, callers wait until their deadlines for answers
+  // that can no longer come.
+  AttemptReport lost;
+  lost.m_end = AttemptEnd::kLost;
+  for (const auto& [request, attempt] : sends) {
+    if (m_requests.contains(request)) {
+      m_sink(CancelSend{request, attempt});
+      Ended(request, attempt, lost, now);
+    }
+  }
+}
+
 void Steering::CountEnd(ServerTrack& server,
                         const AttemptReport& report,
                         TimePoint now) {
