--- /dev/null
+++ b/src/steer/steering_knowledge.cc
@@ -0,0 +1,212 @@
+/// @file steering_knowledge.cc What is known: configuration, servers, fleet.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/invariant_func.h"
+#include "steer/steering.h"
+
+namespace sorrelplank {
+
+void Steering::Install(std::shared_ptr<const RoutingTable> table,
+                       TimePoint now) {
+  Invariant(!m_table || table->m_version >= m_table->m_version,
+            "an older table never replaces a newer one");
+  m_table = std::move(table);
+  m_index = std::make_unique<RouteIndex>(*m_table);
+  // A waiting request is handled by the newest table, like one that arrives
+  // now; it may have lost its route or gone to another service.
+  std::vector<RequestId> waiting;
+  for (const auto& [id, request] : m_requests) {
+    if (request.m_waits) {
+      waiting.push_back(id);
+    }
+  }
+  for (const RequestId id : waiting) {
+    SteeredRequest& request = m_requests.at(id);
+    const std::string service = request.m_service;
+    const bool has_route = Route(request);
+    if (has_route && request.m_service == service) {
+      continue;
+    }
+    Service(service).Waiting().remove(id);
+    StopWaiting(request);
+    if (has_route) {
+      Place(request, now);
+    } else {
+      Refuse(request, SteerRefusal::kNoRoute, now);
+    }
+  }
+}
+
+ServerChange Steering::PutServer(const ServerEntry& entry, TimePoint now) {
+  const auto it = m_servers.find(entry.m_instance);
+  const auto known = it == m_servers.end() ? nullptr : it->second;
+  if (known && StartedBefore(entry, known->Entry())) {
+    // A write of a run that is over, which reached the store late. It says
+    // nothing of the run that serves now; one that called a leaving server
+    // ready would send requests to it.
+    return ServerChange::kOlderRun;
+  }
+  const size_t region = RegionOf(entry.m_failure_domain);
+  if (region >= m_regions.size()) {
+    RemoveServer(entry.m_instance, now);
+    return ServerChange::kUnknownDomain;
+  }
+  if (known && IsSameRun(entry, known->Entry())) {
+    known->Update(entry, now);
+    return ServerChange::kUpdated;
+  }
+  RemoveServer(entry.m_instance, now);
+  AddServer(entry, region, now);
+  if (!known) {
+    return ServerChange::kAdded;
+  }
+  m_sink(ServerRestarted{entry.m_instance});
+  if (StartedBefore(known->Entry(), entry)) {
+    EndSendsTo(*known, now);
+  }
+  return ServerChange::kRestarted;
+}
+
+void Steering::AddServer(const ServerEntry& entry,
+                         size_t region,
+                         TimePoint now) {
+  const auto server = std::make_shared<ServerTrack>(entry, region, now);
+  m_servers[entry.m_instance] = server;
+  m_servers_by_hash[HashName(entry.m_instance)] = server;
+  Service(entry.m_service).AddServer(server);
+}
+
+void Steering::RemoveServer(const std::string& instance, TimePoint) {
+  const auto it = m_servers.find(instance);
+  if (it == m_servers.end()) {
+    return;
+  }
+  Service(it->second->Entry().m_service).RemoveServer(instance);
+  m_servers_by_hash.erase(HashName(instance));
+  m_servers.erase(it);
+}
+
+std::vector<ServerLoad> Steering::TakeUntoldLoads(TimePoint now) {
+  std::vector<ServerLoad> loads;
+  for (const auto& [instance, server] : m_servers) {
+    const auto load = server->TakeUntoldLoad(now);
+    if (load) {
+      loads.push_back(*load);
+    }
+  }
+  return loads;
+}
+
+void Steering::TakeLoads(const std::vector<ServerLoad>& loads, TimePoint now) {
+  for (const ServerLoad& load : loads) {
+    const auto it = m_servers_by_hash.find(load.m_server);
+    if (it != m_servers_by_hash.end()) {
+      it->second->TakeReport(load.m_load, load.m_age, now);
+    }
+  }
+}
+
+void Steering::SetEvacuated(const std::set<std::string>& domains,
+                            TimePoint now) {
+  for (const auto& [instance, server] : m_servers) {
+    const std::string& domain = server->Entry().m_failure_domain;
+    const bool returns =
+        m_picker.IsEvacuated(domain) && !domains.contains(domain);
+    if (returns) {
+      // Its servers may have turned cold while nothing was sent to them, and
+      // their entries say so only some time later.
+      server->MarkCold(RulesOf(server->Entry().m_service).m_cold_start, now);
+    }
+  }
+  m_picker.SetEvacuated(domains);
+}
+
+void Steering::SetFleet(std::vector<FleetMember> fleet, TimePoint now) {
+  m_picker.SetFleet(std::move(fleet), now);
+}
+
+void Steering::SetLimits(const SteeringSettings& settings) {
+  m_settings.m_retry_ratio = settings.m_retry_ratio;
+  m_settings.m_retry_extra = settings.m_retry_extra;
+  if (m_settings.m_retry_window != settings.m_retry_window) {
+    m_settings.m_retry_window = settings.m_retry_window;
+    for (auto& [name, service] : m_services) {
+      service->Retries() = RetryAllowance(settings.m_retry_window);
+    }
+  }
+  m_settings.m_cold_factor = settings.m_cold_factor;
+  m_settings.m_cold_slack = settings.m_cold_slack;
+  m_settings.m_most_shift = settings.m_most_shift;
+}
+
+std::vector<std::string> Steering::HomesOf(const std::string& host) const {
+  RegionShares::Mask mask = ~RegionShares::Mask{0};
+  if (m_table) {
+    for (const RouteRule& route : m_table->m_routes) {
+      if (route.m_host == host) {
+        mask &= MaskOf(route);
+      }
+    }
+  }
+  std::vector<std::string> homes;
+  for (size_t region = 0; region < m_regions.size(); ++region) {
+    if (((mask >> region) & 1U) != 0) {
+      homes.push_back(m_regions[region]);
+    }
+  }
+  return homes;
+}
+
+size_t Steering::WaitingCount() const {
+  size_t count = 0;
+  for (const auto& [name, service] : m_services) {
+    count += service->Waiting().size();
+  }
+  return count;
+}
+
+SteeredService& Steering::Service(const std::string& name) {
+  auto& service = m_services[name];
+  if (!service) {
+    service = std::make_unique<SteeredService>(m_regions.size(), m_own_region,
+                                               m_settings.m_retry_window);
+  }
+  return *service;
+}
+
+size_t Steering::RegionOf(const std::string& failure_domain) const {
+  const auto it = m_settings.m_regions.find(failure_domain);
+  if (it == m_settings.m_regions.end()) {
+    return m_regions.size();
+  }
+  const auto region = std::find(m_regions.begin(), m_regions.end(), it->second);
+  return static_cast<size_t>(region - m_regions.begin());
+}
+
+RegionShares::Mask Steering::MaskOf(const RouteRule& route) const {
+  if (route.m_home_regions.empty()) {
+    return ~RegionShares::Mask{0};
+  }
+  RegionShares::Mask mask = 0;
+  for (size_t region = 0; region < m_regions.size(); ++region) {
+    const auto& homes = route.m_home_regions;
+    if (std::find(homes.begin(), homes.end(), m_regions[region]) !=
+        homes.end()) {
+      mask |= RegionShares::Mask{1} << region;
+    }
+  }
+  return mask;
+}
+
+const ServiceRules& Steering::RulesOf(const std::string& service) const {
+  static const ServiceRules unbounded;
+  if (!m_table) {
+    return unbounded;
+  }
+  const auto it = m_table->m_services.find(service);
+  return it == m_table->m_services.end() ? unbounded : it->second;
+}
+
+}  // namespace sorrelplank
