--- /dev/null
+++ b/tests/steering_mix_test.cc
@@ -0,0 +1,119 @@
+/// @file steering_mix_test.cc Services whose splits over regions stand apart.
+
+#include <criterion/criterion.h>
+
+#include <cmath>
+#include <memory>
+#include <string>
+
+#include "tests/steering_fixture.h"
+
+namespace sorrelplank {
+namespace {
+
+constexpr double kMostShift = 0.15;
+/// Requests of one window in these tests.
+constexpr uint64_t kRequests = 400;
+
+/// Two services, each with a third of its slots' fair part in the own region,
+/// so that two thirds of the objects begin elsewhere.
+struct MixFixture : SteeringFixture {
+  MixFixture() {
+    RouteRule other = MakeRoute("/other/", true);
+    other.m_shares = {{"t", 1}};
+    Install(2, {MakeRoute("/read/", true), other});
+    m_steering.RemoveServer("b", m_now);
+    for (const char* service : {"s", "t"}) {
+      for (int number = 0; number < 5; ++number) {
+        Put(service + std::string("-far-") + std::to_string(number), service,
+            "d3");
+      }
+    }
+    Put("t-near", "t", "d1");
+    Pass(seconds(3));
+  }
+
+  void Put(const std::string& name,
+           const std::string& service,
+           const std::string& domain) {
+    m_steering.PutServer({name, service, {1, 80}, domain, 2, false, {}}, m_now);
+  }
+
+  void Report(const std::string& server, uint32_t running) {
+    m_steering.TakeLoads({{HashName(server), {running, 0, 2}, {}}}, m_now);
+  }
+
+  /// Sends a request; whether it ran in the own region.
+  bool RunsAtHome(const std::string& path, uint64_t object) {
+    Arrive(path, object);
+    const SendToServer send = *Last<SendToServer>();
+    End(send, AttemptEnd::kAnswered);
+    return send.m_region == "r1";
+  }
+
+  /// The own server of "s" has room; that of "t" is half full. A request of
+  /// each service in every step.
+  void RunWithRoomFor(Duration time) {
+    for (Duration step{}; step < time; step += milliseconds(100)) {
+      Report("a", 0);
+      Report("t-near", 2);
+      for (const char* service : {"s", "t"}) {
+        for (int number = 0; number < 5; ++number) {
+          Report(service + std::string("-far-") + std::to_string(number), 2);
+        }
+      }
+      RunsAtHome("/read/x", m_next);
+      RunsAtHome("/other/x", m_next);
+      Pass(milliseconds(100));
+    }
+  }
+
+  /// Part of the requests that run at home if every so many are of "t".
+  double HomePart(uint64_t every) {
+    double at_home = 0;
+    for (uint64_t request = 0; request < kRequests; ++request) {
+      const bool is_other = request % every == 0;
+      at_home += RunsAtHome(is_other ? "/other/x" : "/read/x", request) ? 1 : 0;
+      m_now += milliseconds(1);
+    }
+    return at_home / kRequests;
+  }
+};
+
+std::unique_ptr<MixFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<MixFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(SteeringMix, .init = SetUp, .fini = TearDown);
+
+// One service has room at home and takes all its objects back; the other is
+// half full there and leaves its own where they are. When the second one's
+// requests stop, a third of the requests runs in another region from one moment
+// to the next, though no split moves.
+Test(SteeringMix, OneServiceCameHome_OtherOnesRequestsStop_StaysInBound) {
+  g_fixture->RunWithRoomFor(seconds(30));
+  const double before = g_fixture->HomePart(2);
+  const double after = g_fixture->HomePart(kRequests);
+  cr_assert_leq(std::abs(after - before), kMostShift, "%.2f at home, then %.2f",
+                before, after);
+}
+
+// Nothing is asked of the other service any more: it holds nobody back.
+Test(SteeringMix, OtherServiceUnused_ServiceWithRoom_ComesHome) {
+  g_fixture->RunWithRoomFor(seconds(5));
+  for (int step = 0; step < 300; ++step) {
+    g_fixture->Report("a", 0);
+    g_fixture->RunsAtHome("/read/x", g_fixture->m_next);
+    g_fixture->Pass(milliseconds(100));
+  }
+  cr_assert_gt(g_fixture->HomePart(kRequests), 0.9);
+}
+
+}  // namespace
+}  // namespace sorrelplank
