Keep services together also on the way home

Ruled out: a bound on the shares instead of on what moved: services whose servers stand differently begin apart, and would never come home. Counting every service: one without a server at home, or asked nothing for 4 s, never moves and would keep all others away; those at home already are no reason to stay away. Tests of each. Change: MovedAwayBounds in place of the most that may be moved away; a service comes home to at most the bound beyond the one that is least at home.

--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -41,7 +41,7 @@
 
 void RegionShares::Update(const std::vector<RegionLoad>& loads,
                           double most_shift_per_second,
-                          double most_moved_away,
+                          const MovedAwayBounds& bounds,
                           TimePoint now) {
   const Duration since = std::min<Duration>(now - m_updated, seconds(1));
   m_updated = now;
@@ -54,25 +54,26 @@
     return;
   }
   const double step = most_shift_per_second * ToMilliseconds(since) / 1000;
-  const double left = std::max(0.0, most_moved_away - MovedAway());
+  const double may_come = std::max(0.0, MovedAway() - bounds.m_least);
+  const double may_leave = std::max(0.0, bounds.m_most - MovedAway());
   const std::vector<double> before = m_shares;
-  MoveHome(step);
-  MoveAway(std::min(step, left));
+  MoveHome(std::min(step, may_come));
+  MoveAway(std::min(step, may_leave));
   LimitMove(before, step);
 }
 
-void RegionShares::MoveHome(double step) {
+void RegionShares::MoveHome(double most) {
   const double own = m_loads[m_own].m_utilisation;
   for (size_t region = 0; region < m_shares.size(); ++region) {
     const bool has_room =
         own < kLow || own + kGap < m_loads[region].m_utilisation;
     if (region != m_own && has_room) {
-      MoveBetween(region, m_own, step);
+      MoveBetween(region, m_own, most);
     }
   }
 }
 
-void RegionShares::MoveAway(double step) {
+void RegionShares::MoveAway(double most) {
   const double own = m_loads[m_own].m_utilisation;
   if (own <= kHigh) {
     return;
@@ -87,7 +88,7 @@
       best = region;
     }
   }
-  MoveBetween(m_own, best, step);
+  MoveBetween(m_own, best, most);
 }
 
 void RegionShares::LimitMove(const std::vector<double>& before, double step) {
--- a/src/steer/region_shares.h
+++ b/src/steer/region_shares.h
@@ -23,6 +23,12 @@
   bool m_is_known = true;
 };
 
+/// Between which parts of all objects a split's MovedAway is to stay.
+struct MovedAwayBounds {
+  double m_least = -1;
+  double m_most = 1;
+};
+
 /// Splits a service's objects over regions and moves the split slowly.
 ///
 /// Load pattern: the callers of one region outgrow its slots while another
@@ -40,18 +46,18 @@
   RegionShares(size_t regions, size_t own);
 
   /// Moves the split towards where there is room. Until Start it is set so that
-  /// regions with the same demand would be loaded the same.
-  /// Once started, at most the given part of all objects may have moved away
-  /// from the own region in all.
+  /// regions with the same demand would be loaded the same. Once started, no
+  /// move takes MovedAway across the bounds.
   void Update(const std::vector<RegionLoad>& loads,
               double most_shift_per_second,
-              double most_moved_away,
+              const MovedAwayBounds& bounds,
               TimePoint now);
 
   /// Requests come from now on: the split moves slowly.
   void Start();
   bool HasStarted() const { return m_has_started; }
-  /// Part of all objects that moved away from the own region since the start.
+  /// Part of all objects that moved away from the own region since the start;
+  /// negative where more came home.
   double MovedAway() const { return m_own_at_start - m_shares[m_own]; }
 
   /// The region of an object; the number of regions where none of the allowed
@@ -59,6 +65,8 @@
   size_t RegionOf(uint64_t object, Mask allowed) const;
 
   double Share(size_t region) const { return m_shares[region]; }
+  double OwnShare() const { return m_shares[m_own]; }
+  bool HasOwnSlots() const { return m_loads[m_own].m_slots > 0; }
   /// The loads that the last update was given.
   double OwnLoad() const { return m_loads[m_own].m_utilisation; }
   /// Of the other regions that have slots; 0 where there is none.
@@ -71,9 +79,9 @@
   void MoveBetween(size_t from, size_t to, double part);
   void SetByCapacity();
   /// Takes objects back from other regions where the own one has room.
-  void MoveHome(double step);
+  void MoveHome(double most);
   /// Gives objects to the least loaded region where the own one is full.
-  void MoveAway(double step);
+  void MoveAway(double most);
   /// Shortens all that moved since the shares were as given to one step.
   void LimitMove(const std::vector<double>& before, double step);
 
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -17,6 +17,9 @@
 /// second may move. In steps of a tenth, two lines a second apart could not
 /// tell the allowed speed from twice of it.
 constexpr double kToldStep = 0.05;
+/// A service without a request for this long is not in use: the bound on shifts
+/// compares two windows of 2 s.
+constexpr Duration kUnusedAfter = seconds(4);
 /// Milliseconds; keeps the first answers from promising too much.
 constexpr double kLeastWork = 50;
 /// Part of a server's ends that is expected where none of ours are under way.
@@ -83,7 +86,7 @@
 void SteeredService::UpdateShares(const ServerPicker& picker,
                                   const ServiceRules& rules,
                                   double most_shift_per_second,
-                                  double most_moved_away,
+                                  const MovedAwayBounds& bounds,
                                   TimePoint now) {
   std::vector<RegionLoad> loads(m_by_region.size());
   for (size_t region = 0; region < loads.size(); ++region) {
@@ -108,7 +111,17 @@
       loads[region].m_utilisation = load / told_slots;
     }
   }
-  m_shares.Update(loads, most_shift_per_second, most_moved_away, now);
+  m_shares.Update(loads, most_shift_per_second, bounds, now);
+}
+
+void SteeredService::CountRequest(TimePoint now) {
+  m_last_request = now;
+  m_retries.CountRequest(now);
+  m_shares.Start();
+}
+
+bool SteeredService::IsInUse(TimePoint now) const {
+  return m_last_request && now - *m_last_request < kUnusedAfter;
 }
 
 std::optional<double> SteeredService::ShareToTell() {
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -46,10 +46,14 @@
   void UpdateShares(const ServerPicker& picker,
                     const ServiceRules& rules,
                     double most_shift_per_second,
-                    double most_moved_away,
+                    const MovedAwayBounds& bounds,
                     TimePoint now);
 
-  RegionShares& Shares() { return m_shares; }
+  /// A request arrived.
+  void CountRequest(TimePoint now);
+  /// Whether requests came lately.
+  bool IsInUse(TimePoint now) const;
+
   const RegionShares& Shares() const { return m_shares; }
   /// The own region's share if it has changed much since this last told it.
   std::optional<double> ShareToTell();
@@ -64,6 +68,7 @@
   RegionShares m_shares;
   double m_told_share = 1;
   RetryAllowance m_retries;
+  std::optional<TimePoint> m_last_request;
   std::list<RequestId> m_waiting;
   QuantileTrack m_latency{0.5};
   RegionTimes m_times;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -21,11 +21,13 @@
 /// window, calm starts with eight seeds changed 0.114 to 0.164 of the requests
 /// (0.15 allowed), 0.122 to 0.177 at a third of the bound.
 constexpr double kShiftPart = 0.25;
-/// How much more of its objects one service may have moved to other regions
-/// than another, as a part of the allowed shift. The bound holds over all
-/// services together: where they stand far apart, a change of the traffic's mix
-/// alone moves requests. The last requests of a burst, two thirds of them of
-/// one service that had moved half away, ran elsewhere by 0.35 in 2 s.
+/// How much more of its objects one service may have moved away from the own
+/// region, or back to it, than another, as a part of the allowed shift. The
+/// bound holds over all services together: where they stand far apart, a change
+/// of the traffic's mix alone moves requests. The last requests of a burst, two
+/// thirds of them of one service that had moved half away, ran elsewhere by
+/// 0.35 in 2 s. With one of two services come home and the other not, the end
+/// of the other's requests moved 0.32; now 0.06.
 constexpr double kApartPart = 1;
 
 }  // namespace
@@ -136,8 +138,7 @@
       std::min(request.m_facts.m_time_left, request.m_route->m_timeout);
   request.m_finish_by = request.m_arrived + time;
   SteeredService& service = Service(request.m_service);
-  service.Retries().CountRequest(now);
-  service.Shares().Start();
+  service.CountRequest(now);
   Place(request, now);
 }
 
@@ -166,22 +167,35 @@
   return m_picker.Pick(*servers, RulesOf(request.m_service), need, now);
 }
 
-double Steering::MostMovedAway() const {
-  double least = 1;
+MovedAwayBounds Steering::BoundsOfMoves(const SteeredService& moving,
+                                        TimePoint now) const {
+  double least_away = 1;
+  double most_away = -1;
   for (const auto& [name, service] : m_services) {
-    if (service->Shares().HasStarted()) {
-      least = std::min(least, service->Shares().MovedAway());
+    const RegionShares& shares = service->Shares();
+    if (!shares.HasStarted()) {
+      continue;
+    }
+    least_away = std::min(least_away, shares.MovedAway());
+    // Coming home brings a service nearer to those that are there already. One
+    // that has no server at home or is asked nothing stays where it is, and
+    // would keep all others away for good.
+    const bool holds_back = service->IsInUse(now) && shares.HasOwnSlots() &&
+                            shares.OwnShare() < moving.Shares().OwnShare();
+    if (holds_back) {
+      most_away = std::max(most_away, shares.MovedAway());
     }
   }
-  return std::max(0.0, least) + m_settings.m_most_shift * kApartPart;
+  const double apart = m_settings.m_most_shift * kApartPart;
+  return {.m_least = most_away - apart,
+          .m_most = std::max(0.0, least_away) + apart};
 }
 
 void Steering::UpdateShares(TimePoint now) {
-  const double most_moved_away = MostMovedAway();
   for (auto& [name, service] : m_services) {
     service->UpdateShares(m_picker, RulesOf(name),
-                          m_settings.m_most_shift * kShiftPart, most_moved_away,
-                          now);
+                          m_settings.m_most_shift * kShiftPart,
+                          BoundsOfMoves(*service, now), now);
     const auto share = service->ShareToTell();
     if (share) {
       const RegionShares& shares = service->Shares();
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -125,8 +125,9 @@
                 TimePoint now);
   /// Notes whether the server's failure domain is within reach.
   void CountReach(const ServerTrack& server, AttemptEnd end, TimePoint now);
-  /// Part of its objects that any service may have moved to other regions.
-  double MostMovedAway() const;
+  /// How far the split of a service may move, so that services stay together.
+  MovedAwayBounds BoundsOfMoves(const SteeredService& moving,
+                                TimePoint now) const;
   void UpdateShares(TimePoint now);
 
   SteeringSettings m_settings;
--- a/tests/region_shares_test.cc
+++ b/tests/region_shares_test.cc
@@ -29,7 +29,7 @@
   TimePoint m_now{seconds(10)};
 
   SharesFixture() {
-    m_shares.Update(Loads(0, 0, 0), kPerSecond, 1, m_now);
+    m_shares.Update(Loads(0, 0, 0), kPerSecond, {}, m_now);
     m_shares.Start();
   }
 
@@ -43,10 +43,10 @@
 
   void Run(const std::vector<RegionLoad>& loads,
            Duration time,
-           double most_moved_away = 1) {
+           const MovedAwayBounds& bounds = {}) {
     for (Duration step{}; step < time; step += milliseconds(100)) {
       m_now += milliseconds(100);
-      m_shares.Update(loads, kPerSecond, most_moved_away, m_now);
+      m_shares.Update(loads, kPerSecond, bounds, m_now);
     }
   }
 };
@@ -73,9 +73,9 @@
 // many seconds.
 Test(RegionShares, NotStarted_MoreServersRegister_SplitFollows) {
   RegionShares shares(kRegions, kOwn);
-  shares.Update({{0, 0, 0}, {5, 5, 0}, {0, 0, 0}}, kPerSecond, 1,
+  shares.Update({{0, 0, 0}, {5, 5, 0}, {0, 0, 0}}, kPerSecond, {},
                 TimePoint(seconds(1)));
-  shares.Update(Loads(0, 0, 0), kPerSecond, 1, TimePoint(seconds(2)));
+  shares.Update(Loads(0, 0, 0), kPerSecond, {}, TimePoint(seconds(2)));
   cr_assert_float_eq(shares.Share(0), 0.5, 0.01);
 }
 
@@ -97,7 +97,7 @@
 // Another service has moved nothing. This one stops where the two stand as far
 // apart as is allowed, however long it is overloaded.
 Test(RegionShares, Overload_OtherServicesAtHome_StopsAtTheAllowedGap) {
-  g_fixture->Run(Loads(2, 0.2, 0.1), seconds(60), 0.15);
+  g_fixture->Run(Loads(2, 0.2, 0.1), seconds(60), {.m_most = 0.15});
   cr_assert_float_eq(g_fixture->m_shares.MovedAway(), 0.15, 0.001);
 }
 
--- a/tests/region_shift_test.cc
+++ b/tests/region_shift_test.cc
@@ -34,7 +34,7 @@
   uint64_t m_next_object = 0;
 
   ShiftFixture() {
-    m_shares.Update(Loads(0, 0, 0), kPerSecond, 1, m_now);
+    m_shares.Update(Loads(0, 0, 0), kPerSecond, {}, m_now);
     m_shares.Start();
   }
 
@@ -49,7 +49,7 @@
     Counts parts{};
     for (int step = 0; step < kStepsPerWindow; ++step) {
       m_now += kStep;
-      m_shares.Update(loads, kPerSecond, kMostShift, m_now);
+      m_shares.Update(loads, kPerSecond, {.m_most = kMostShift}, m_now);
       for (uint64_t request = 0; request < kRequestsPerStep; ++request) {
         const size_t region = m_shares.RegionOf(m_next_object++, kAll);
         parts.at(region) += 1.0 / (kRequestsPerStep * kStepsPerWindow);
@@ -131,7 +131,7 @@
       const auto slots = static_cast<double>(1 + random() % 100);
       loads.push_back({slots, slots, 0});
     }
-    shares.Update(loads, kPerSecond, 1, now);
+    shares.Update(loads, kPerSecond, {}, now);
     shares.Start();
     for (int step = 0; step < 200; ++step) {
       for (RegionLoad& region : loads) {
@@ -142,7 +142,7 @@
         before.push_back(shares.Share(region));
       }
       now += kStep;
-      shares.Update(loads, kPerSecond, 1, now);
+      shares.Update(loads, kPerSecond, {}, now);
       double changed = 0;
       for (size_t region = 0; region < regions; ++region) {
         changed += std::abs(shares.Share(region) - before[region]) / 2;
--- a/tests/steering_mix_test.cc
+++ b/tests/steering_mix_test.cc
@@ -104,6 +104,24 @@
                 before, after);
 }
 
+// The other service has all its servers elsewhere, and can never come home.
+Test(SteeringMix, OtherServiceHasNoServersAtHome_ServiceWithRoom_ComesHome) {
+  g_fixture->m_steering.RemoveServer("t-near", g_fixture->m_now);
+  g_fixture->RunWithRoomFor(seconds(30));
+  cr_assert_gt(g_fixture->HomePart(kRequests), 0.9);
+}
+
+// The other service was at home from the start: the first one comes nearer.
+Test(SteeringMix, OtherServiceIsAtHome_ServiceWithRoom_ComesHome) {
+  for (int number = 0; number < 5; ++number) {
+    g_fixture->m_steering.RemoveServer("t-far-" + std::to_string(number),
+                                       g_fixture->m_now);
+  }
+  g_fixture->Pass(seconds(1));
+  g_fixture->RunWithRoomFor(seconds(30));
+  cr_assert_gt(g_fixture->HomePart(kRequests), 0.9);
+}
+
 // Nothing is asked of the other service any more: it holds nobody back.
 Test(SteeringMix, OtherServiceUnused_ServiceWithRoom_ComesHome) {
   g_fixture->RunWithRoomFor(seconds(5));
