Come home no step further than services may stand apart

Cause: read again, two regions that give back at once could each use up what is left to the bound, and take it over by a step; a comment claimed more than it said. Ruled out: nothing else crosses the bounds; the way away has one region at a time.

--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -63,12 +63,13 @@
     return;
   }
   const double step = most_shift_per_second * ToMilliseconds(since) / 1000;
-  const double may_come = std::max(0.0, MovedAway() - bounds.m_least);
-  const double may_leave = std::max(0.0, bounds.m_most - MovedAway());
+  const double may_come =
+      std::clamp(MovedAway() - bounds.m_least, 0.0, step * kHomePart);
+  const double may_leave = std::clamp(bounds.m_most - MovedAway(), 0.0, step);
   const std::vector<double> before = m_shares;
-  MoveHome(std::min(step * kHomePart, may_come));
-  LimitMove(before, step * kHomePart);
-  MoveAway(std::min(step, may_leave));
+  MoveHome(may_come);
+  LimitMove(before, may_come);
+  MoveAway(may_leave);
   LimitMove(before, step);
 }
 
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -13,9 +13,9 @@
 
 /// Sends after which a change of the part that is rejected shows.
 constexpr double kRejectionSamples = 20;
-/// Change of the own region's share that is worth a log line: about what a
-/// second may move. In steps of a tenth, two lines a second apart could not
-/// tell the allowed speed from twice of it.
+/// Change of the own region's share that is worth a log line: about what may
+/// move in a second. In steps of a tenth, lines came too seldom to tell the
+/// allowed speed from twice of it.
 constexpr double kToldStep = 0.05;
 /// A service without a request for this long is not in use: the bound on shifts
 /// compares two windows of 2 s.
--- a/tests/region_shares_test.cc
+++ b/tests/region_shares_test.cc
@@ -101,6 +101,16 @@
   cr_assert_float_eq(g_fixture->m_shares.MovedAway(), 0.15, 0.001);
 }
 
+// Another service stays away. This one has room at home, but comes home only to
+// where the two stand as far apart as is allowed; not a step further, though
+// both other regions give back.
+Test(RegionShares, Underload_OtherServicesAway_StopsAtTheAllowedGap) {
+  g_fixture->Run(Loads(2, 0.2, 0.1), seconds(1));
+  g_fixture->Run(Loads(2, 0.1, 0.2), seconds(1));
+  g_fixture->Run(Loads(0.2, 0.5, 0.5), seconds(60), {.m_least = -0.15});
+  cr_assert_float_eq(g_fixture->m_shares.MovedAway(), -0.15, 1e-6);
+}
+
 Test(RegionShares, Overload_Everywhere_NothingMoves) {
   g_fixture->Run(Loads(2, 2, 2), seconds(5));
   cr_assert_float_eq(g_fixture->m_shares.Share(0), 0.5, 0.01);
