--- a/tests/steering_mix_test.cc
+++ b/tests/steering_mix_test.cc
@@ -51,9 +51,9 @@
     return send.m_region == "r1";
   }
 
-  /// The own server of "s" has room; that of "t" is half full. A request of
+  /// The own server of "s" has room; that of "t" has no slot free. A request of
   /// each service in every step.
-  void RunWithRoomFor(Duration time) {
+  void RunWithRoomAtHome(Duration time) {
     for (Duration step{}; step < time; step += milliseconds(100)) {
       Report("a", 0);
       Report("t-near", 2);
@@ -93,11 +93,11 @@
 TestSuite(SteeringMix, .init = SetUp, .fini = TearDown);
 
 // One service has room at home and takes all its objects back; the other is
-// half full there and leaves its own where they are. When the second one's
+// full there and leaves its own where they are. When the second one's
 // requests stop, a third of the requests runs in another region from one moment
 // to the next, though no split moves.
 Test(SteeringMix, OneServiceCameHome_OtherOnesRequestsStop_StaysInBound) {
-  g_fixture->RunWithRoomFor(seconds(30));
+  g_fixture->RunWithRoomAtHome(seconds(30));
   const double before = g_fixture->HomePart(2);
   const double after = g_fixture->HomePart(kRequests);
   cr_assert_leq(std::abs(after - before), kMostShift, "%.2f at home, then %.2f",
@@ -107,7 +107,7 @@
 // The other service has all its servers elsewhere, and can never come home.
 Test(SteeringMix, OtherServiceHasNoServersAtHome_ServiceWithRoom_ComesHome) {
   g_fixture->m_steering.RemoveServer("t-near", g_fixture->m_now);
-  g_fixture->RunWithRoomFor(seconds(30));
+  g_fixture->RunWithRoomAtHome(seconds(30));
   cr_assert_gt(g_fixture->HomePart(kRequests), 0.9);
 }
 
@@ -118,13 +118,13 @@
                                        g_fixture->m_now);
   }
   g_fixture->Pass(seconds(1));
-  g_fixture->RunWithRoomFor(seconds(30));
+  g_fixture->RunWithRoomAtHome(seconds(30));
   cr_assert_gt(g_fixture->HomePart(kRequests), 0.9);
 }
 
 // Nothing is asked of the other service any more: it holds nobody back.
 Test(SteeringMix, OtherServiceUnused_ServiceWithRoom_ComesHome) {
-  g_fixture->RunWithRoomFor(seconds(5));
+  g_fixture->RunWithRoomAtHome(seconds(5));
   for (int step = 0; step < 300; ++step) {
     g_fixture->Report("a", 0);
     g_fixture->RunsAtHome("/read/x", g_fixture->m_next);
