Bound idle connections by the server's limit over all entry VMs

Cause: each VM kept up to 16 idle connections to a server, whatever the number of VMs. 195 VMs may keep 3,120 of the 3,600 that a server of the large fleet bears, 710 VMs 11,360.

Ruled out: that too few are kept. A VM of the large fleet sends about 12 requests a second to 714 servers, one a minute to each, and servers close idle connections after 10 s: of its sends three in four need a new connection whatever it keeps. Closing too early: kept ones are closed by the servers' own Keep-Alive.

Change: MostKeptConnections divides half of the server's limit by the VMs of the fleet; the other half is for connections in use. Sends name it to the pool.

Figures: by KeptConnections AllVmsTogether_*, idle connections of all VMs: 11,360 of 3,600 before and 1,420 after at 710 VMs; 3,120 and 1,755 at 195; 128 and 128 of 330 at 8. Resets on the large site after this change: not measured yet.

--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -205,8 +205,11 @@
   send.m_request_id_name = m_names.m_request_id;
   send.m_is_head = open.m_request.m_method == "HEAD";
   send.m_most_answer_bytes = kMostAnswerBytes;
-  m_pool.Send(action.m_attempt, action.m_instance, action.m_address,
-              action.m_idempotent, std::move(send),
+  const SendTarget target{.m_instance = action.m_instance,
+                          .m_address = action.m_address,
+                          .m_is_idempotent = action.m_idempotent,
+                          .m_most_kept = action.m_most_kept};
+  m_pool.Send(action.m_attempt, target, std::move(send),
               [this, request = action.m_request,
                attempt = action.m_attempt](ServerReply reply) {
                 SendEnded(request, attempt, std::move(reply));
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -20,8 +20,6 @@
 /// then reset and may have run. Requests that must not run twice use only
 /// connections that were busy a moment ago.
 constexpr Duration kFreshForUnsafe = milliseconds(1000);
-/// Further kept connections to one server; its slots are fewer.
-constexpr size_t kMostIdle = 16;
 
 }  // namespace
 
@@ -39,20 +37,20 @@
 }
 
 void ServerPool::Send(AttemptId attempt,
-                      const std::string& instance,
-                      VmAddress address,
-                      bool is_idempotent,
+                      const SendTarget& target,
                       ServerSend send,
                       ReplyHandler handler) {
-  ConnectionPtr connection = TakeIdle(instance, is_idempotent);
+  ConnectionPtr connection =
+      TakeIdle(target.m_instance, target.m_is_idempotent);
   if (!connection) {
     ++m_opened;
     connection = std::make_shared<ServerConnection>(
-        m_io, address, [this, instance](ServerConnection* ended) {
+        m_io, target.m_address,
+        [this, instance = target.m_instance](ServerConnection* ended) {
           IdleEnded(instance, ended);
         });
   }
-  m_busy[attempt] = {connection, instance};
+  m_busy[attempt] = {connection, target.m_instance, target.m_most_kept};
   connection->Send(
       std::move(send), kConnectTimeout,
       [this, attempt, handler = std::move(handler)](ServerReply reply) {
@@ -60,7 +58,7 @@
         const Busy busy = std::move(it->second);
         m_busy.erase(it);
         auto& idle = m_idle[busy.m_instance];
-        if (busy.m_connection->IsReusable() && idle.size() < kMostIdle) {
+        if (busy.m_connection->IsReusable() && idle.size() < busy.m_most_kept) {
           idle.push_back(busy.m_connection);
         } else {
           busy.m_connection->Close();
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -3,6 +3,7 @@
 #ifndef SORRELPLANK_PROXY_SERVER_POOL_H_
 #define SORRELPLANK_PROXY_SERVER_POOL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -24,6 +25,15 @@
 class ServerConnection;
 struct ServerSend;
 
+/// Where a request goes, and what may become of its connection.
+struct SendTarget {
+  std::string m_instance;
+  VmAddress m_address;
+  bool m_is_idempotent = false;
+  /// Idle connections to the instance that may be kept behind the answer.
+  size_t m_most_kept = 0;
+};
+
 /// Keeps connections by instance: an address may come to belong to another
 /// server, a connection may not.
 class ServerPool {
@@ -33,9 +43,7 @@
 
   /// Sends on a kept connection where one is fit, else on a new one.
   void Send(AttemptId attempt,
-            const std::string& instance,
-            VmAddress address,
-            bool is_idempotent,
+            const SendTarget& target,
             ServerSend send,
             ReplyHandler handler);
 
@@ -56,6 +64,7 @@
   struct Busy {
     ConnectionPtr m_connection;
     std::string m_instance;
+    size_t m_most_kept = 0;
   };
 
   ConnectionPtr TakeIdle(const std::string& instance, bool is_idempotent);
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -3,6 +3,7 @@
 #ifndef SORRELPLANK_STEER_STEER_ACTION_TYPE_H_
 #define SORRELPLANK_STEER_STEER_ACTION_TYPE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -23,6 +24,8 @@
   VmAddress m_address;
   Duration m_time_left{};
   bool m_idempotent = false;
+  /// Idle connections to the server that may be kept behind the answer.
+  size_t m_most_kept = 0;
   /// For logs and counts.
   std::string m_service;
   /// The server's region.
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "steer/kept_connections_func.h"
 #include "steer/steering.h"
 
 namespace sorrelplank {
@@ -142,11 +143,13 @@
   request.m_live.push_back({attempt, m_servers.at(entry.m_instance), now});
   request.m_tried.push_back(entry.m_instance);
   ++request.m_arrivals;
-  m_sink(SendToServer{request.m_facts.m_request, attempt, entry.m_instance,
-                      entry.m_address, request.m_finish_by - now,
-                      request.m_route->m_idempotent, request.m_service,
-                      m_regions[server->Region()], server->Occupancy(now),
-                      now - request.m_arrived, request.m_table->m_version});
+  const size_t most_kept = MostKeptConnections(
+      RulesOf(entry.m_service).m_most_connections, m_picker.Fleet().size());
+  m_sink(SendToServer{
+      request.m_facts.m_request, attempt, entry.m_instance, entry.m_address,
+      request.m_finish_by - now, request.m_route->m_idempotent, most_kept,
+      request.m_service, m_regions[server->Region()], server->Occupancy(now),
+      now - request.m_arrived, request.m_table->m_version});
 }
 
 void Steering::Ended(RequestId id,
