--- a/tests/store_fleet_test.cc
+++ b/tests/store_fleet_test.cc
@@ -122,6 +122,25 @@
   g_fixture->ExpectChangeWithin(kHalfOfBound);
 }
 
+// A failure domain of 20 VMs has two relays, and both lose power at the same
+// moment. A follower that waited for the one and then for the other would learn
+// of nothing for twice the time; after a relay that is silent it asks the
+// store.
+Test(StoreFleet,
+     BothRelaysOfADomainDown_ChangeMeanwhile_IsKnownInHalfOfTheBound) {
+  StoreFleet fleet(2, 20);
+  fleet.StartAll();
+  fleet.RunFor(seconds(12));
+  cr_assert_eq(fleet.Watchers().size(), 4U);
+  for (const size_t relay : fleet.Watchers()) {
+    fleet.FaultsOf(relay).m_is_down = true;
+  }
+  fleet.Put("op/config", "new");
+  const Duration took = fleet.TimeUntilAllKnow("op/config", "new", seconds(30));
+  cr_expect_leq(took, kHalfOfBound, "after %ld ms",
+                static_cast<long>(took / milliseconds(1)));
+}
+
 // The store refuses everything for eight seconds. Each VM asked again within a
 // second, and every refused call is paid for: 66 VMs made 110 calls a second.
 // Followers hear of its return by their relay and ask seldom.
