Reserve the fleet of the steering bench

Only changed files of src, platform and soak had been linted before.

Ruled out: other findings; the linter names only this one over all sources.

Change: one reserve.

--- a/bench/steering_bench.cc
+++ b/bench/steering_bench.cc
@@ -52,6 +52,7 @@
                             .m_cold_per_second = 2.8};
   steering->Install(table, now);
   std::vector<FleetMember> fleet;
+  fleet.reserve(kVms);
   for (int vm = 0; vm < kVms; ++vm) {
     fleet.push_back({"vm-" + std::to_string(vm), "10.0.0.1:80", DomainOf(vm),
                      RegionOf(vm)});
