Run three entry VMs a failure domain in the soak

Cause: a failure domain of two VMs has no relay any more, so the soak's kills, pauses and cuts from the store met no VM that others follow.

Ruled out: a smaller least size in the product for the soak's sake.

--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -19,7 +19,7 @@
 using nlohmann::json;
 
 constexpr const char* kDomains[] = {"d1", "d2", "d3"};
-constexpr int kVmsPerDomain = 2;
+constexpr int kVmsPerDomain = 3;
 constexpr int kServersPerDomainAndService = 2;
 constexpr const char* kServices[] = {"reads", "writes"};
 constexpr int kCallers = 24;
