Tell in the log which sends carry the same request

Callers saw servers end one after the other; the log could not tell whether the sends that ended them were one request that came again, since each attempt has another id.

Cause: sight only. A send tells `content`, a digest of 128 bits over method, host, path with query, the client's address and the whole body.

Ruled out: an id or key of the caller on the wire: the protocol names none. Without the address, one caller's request could hold back another's; without the body, one write could hold back the next.

Change: RequestDigest (core), DigestOf (proxy), the field in RequestFacts and on `send`.

--- /dev/null
+++ b/src/core/request_digest_type.h
@@ -0,0 +1,39 @@
+/// @file request_digest_type.h What makes two requests the same one.
+
+#ifndef SORRELPLANK_CORE_REQUEST_DIGEST_TYPE_H_
+#define SORRELPLANK_CORE_REQUEST_DIGEST_TYPE_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace sorrelplank {
+
+/// 128-bit hash of what a caller asks for, and of the caller. It stays the same
+/// when the caller asks again, at whichever entry VM.
+struct RequestDigest {
+  uint64_t m_high = 0;
+  uint64_t m_low = 0;
+
+  auto operator<=>(const RequestDigest&) const = default;
+};
+
+/// 32 lower-case hexadecimal digits.
+std::string FormatDigest(const RequestDigest& digest);
+
+/// Nothing unless the text is what FormatDigest writes.
+std::optional<RequestDigest> ParseDigest(const std::string& text);
+
+}  // namespace sorrelplank
+
+template <>
+struct std::hash<sorrelplank::RequestDigest> {
+  std::size_t operator()(const sorrelplank::RequestDigest& digest) const {
+    return static_cast<std::size_t>(digest.m_low);
+  }
+};
+
+#endif  // SORRELPLANK_CORE_REQUEST_DIGEST_TYPE_H_
--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -13,6 +13,7 @@
 #include "proxy/decision_log.h"
 #include "proxy/proxy_metrics.h"
 #include "proxy/reply_judge_func.h"
+#include "proxy/request_digest_func.h"
 #include "proxy/server_connection.h"
 #include "serve/clock_func.h"
 
@@ -118,9 +119,11 @@
   facts.m_path = request.m_path;
   facts.m_time_left = ParseTimeLeft(request.Header(m_names.m_deadline_ms));
   facts.m_object = HashOf(request.Header(m_names.m_object).value_or(*id));
+  facts.m_digest = DigestOf(request);
   m_by_connection.emplace(request.m_connection, facts.m_request);
   Open open;
   open.m_id = *id;
+  open.m_digest = facts.m_digest;
   open.m_request = std::move(request);
   open.m_reply = std::move(reply);
   open.m_arrived = SteadyNow();
@@ -191,6 +194,7 @@
   m_log.Write("send",
               {{"request", open.m_id},
                {"attempt", static_cast<int64_t>(action.m_attempt.Get())},
+               {"content", FormatDigest(open.m_digest)},
                {"server", action.m_instance},
                {"region", action.m_region},
                {"object", open.m_request.Header(m_names.m_object).value_or("")},
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "core/ids_type.h"
+#include "core/request_digest_type.h"
 #include "net/http_message_type.h"
 #include "proxy/proxy_names_type.h"
 #include "proxy/server_pool.h"
@@ -48,6 +49,7 @@
     HttpRequest m_request;
     HttpReply m_reply;
     std::string m_id;
+    RequestDigest m_digest;
     TimePoint m_arrived;
     /// What the last send that ended brought.
     HttpResponse m_server_answer;
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/ids_type.h"
+#include "core/request_digest_type.h"
 #include "core/time_type.h"
 #include "steer/region_shares.h"
 
@@ -28,6 +29,8 @@
   uint64_t m_object = 0;
   /// How long the client waits.
   Duration m_time_left{};
+  /// The same for each attempt of one caller at the same request.
+  RequestDigest m_digest{};
 };
 
 /// One send of a request that has not ended.
--- /dev/null
+++ b/tests/request_digest_test.cc
@@ -0,0 +1,71 @@
+/// @file request_digest_test.cc What makes two requests the same one.
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "net/http_message_type.h"
+#include "proxy/request_digest_func.h"
+
+namespace sorrelplank {
+namespace {
+
+HttpRequest MakeRequest() {
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_path = "/desk/3";
+  request.m_target = "/desk/3?day=2";
+  request.m_headers = {{"host", "gates.example"},
+                       {"x-request-id", "1"},
+                       {"x-time-left", "3000"}};
+  request.m_body = "stand 17";
+  request.m_remote_ip = 0x0a000007;
+  request.m_connection = 4;
+  return request;
+}
+
+template <typename Change>
+bool IsSameAfter(const Change& change) {
+  HttpRequest request = MakeRequest();
+  change(request);
+  return DigestOf(request) == DigestOf(MakeRequest());
+}
+
+Test(RequestDigest, OtherIdTimeAndConnection_Digest_IsTheSame) {
+  cr_assert(IsSameAfter([](HttpRequest& request) {
+    request.m_headers["x-request-id"] = "2";
+    request.m_headers["x-time-left"] = "1200";
+    request.m_connection = 5;
+  }));
+}
+
+Test(RequestDigest, OneOtherPart_Digest_Differs) {
+  cr_assert_not(IsSameAfter([](HttpRequest& one) { one.m_method = "PUT"; }));
+  cr_assert_not(
+      IsSameAfter([](HttpRequest& one) { one.m_headers["host"] = "h"; }));
+  cr_assert_not(
+      IsSameAfter([](HttpRequest& one) { one.m_target = "/desk/3?day=3"; }));
+  cr_assert_not(IsSameAfter([](HttpRequest& one) { one.m_remote_ip += 1; }));
+  cr_assert_not(IsSameAfter([](HttpRequest& one) { one.m_body += "0"; }));
+}
+
+// Taken together without their lengths, two parts could be moved into one
+// another by a client, and its request would pass for another one.
+Test(RequestDigest, SameTextInOtherParts_Digest_Differs) {
+  cr_assert_not(IsSameAfter([](HttpRequest& one) {
+    one.m_headers["host"] = "gates.example/desk";
+    one.m_target = "/3?day=2";
+  }));
+}
+
+Test(RequestDigest, Text_ReadAgain_IsTheSame) {
+  const RequestDigest digest{.m_high = 0x12, .m_low = ~uint64_t{0}};
+  const std::string text = FormatDigest(digest);
+  cr_assert_str_eq(text.c_str(), "0000000000000012ffffffffffffffff");
+  cr_assert(ParseDigest(text) == digest);
+  cr_assert_not(ParseDigest("12").has_value());
+  cr_assert_not(ParseDigest(std::string(32, 'g')).has_value());
+}
+
+}  // namespace
+}  // namespace sorrelplank
