Test what holds requests back, what ends that, and what is no evidence

Callers: sound requests must not be held back by chance; one that ends servers must stay held back at a VM that starts, and at one that hears nothing of the others.

Cause: none new; these are the cases around the mend.

--- a/tests/crash_world.cc
+++ b/tests/crash_world.cc
@@ -63,23 +63,15 @@
                             .m_most_connections = 400,
                             .m_cold_start = seconds(3),
                             .m_cold_per_second = 4};
-  std::vector<FleetMember> fleet;
+  m_table = std::move(table);
   for (size_t vm = 0; vm < vms; ++vm) {
     const size_t domain = vm % std::size(kDomains);
-    SteeringSettings settings = MakeSettings();
-    settings.m_vm = "vm-" + std::to_string(vm);
-    settings.m_failure_domain = kDomains[domain];
-    settings.m_region = kRegions[domain];
-    settings.m_retry_extra = 64;
-    fleet.push_back(
-        {settings.m_vm, "", settings.m_failure_domain, settings.m_region});
+    m_fleet.push_back(
+        {"vm-" + std::to_string(vm), "", kDomains[domain], kRegions[domain]});
     m_vms.push_back(std::make_unique<Vm>());
-    m_vms.back()->m_steering = std::make_unique<Steering>(
-        settings, [this, vm](const SteerAction& action) { Take(vm, action); });
-    m_vms.back()->m_steering->Install(table, m_queue.Now());
   }
-  for (const auto& vm : m_vms) {
-    vm->m_steering->SetFleet(fleet, m_queue.Now());
+  for (size_t vm = 0; vm < vms; ++vm) {
+    StartVm(vm);
   }
   for (size_t number = 0; number < servers; ++number) {
     m_servers.push_back(std::make_unique<Server>());
@@ -92,6 +84,38 @@
 
 CrashWorld::~CrashWorld() = default;
 
+void CrashWorld::StartVm(size_t vm) {
+  SteeringSettings settings = MakeSettings();
+  settings.m_vm = m_fleet[vm].m_vm;
+  settings.m_failure_domain = m_fleet[vm].m_failure_domain;
+  settings.m_region = m_fleet[vm].m_region;
+  settings.m_retry_extra = 64;
+  auto& steering = m_vms[vm]->m_steering;
+  steering = std::make_unique<Steering>(
+      settings, [this, vm](const SteerAction& action) { Take(vm, action); });
+  steering->Install(m_table, m_queue.Now());
+  steering->SetFleet(m_fleet, m_queue.Now());
+}
+
+void CrashWorld::Restart(size_t vm) {
+  m_vms[vm]->m_digests.clear();
+  m_vms[vm]->m_callers.clear();
+  StartVm(vm);
+  Steering& steering = *m_vms[vm]->m_steering;
+  for (const auto& server : m_servers) {
+    if (!server->m_instance.empty()) {
+      steering.PutServer(EntryOf(*server, Duration{}), m_queue.Now());
+    }
+  }
+  for (const CrashFact& fact : m_store) {
+    steering.TakeCrash(fact, seconds(1), m_queue.Now());
+  }
+}
+
+void CrashWorld::CutOffFromNews(size_t vm) {
+  m_vms[vm]->m_is_cut_off = true;
+}
+
 void CrashWorld::RunFor(Duration time) {
   const TimePoint end = m_queue.Now() + time;
   bool is_over = false;
@@ -172,7 +196,10 @@
   } else if (const auto* check = std::get_if<CheckServerReach>(&action)) {
     Check(vm, *check);
   } else if (const auto* suspected = std::get_if<RequestSuspected>(&action)) {
+    ++m_suspected;
     Tell(vm, suspected->m_report.m_fact, true);
+  } else if (std::holds_alternative<RequestHeld>(action)) {
+    ++m_held_back;
   } else if (const auto* forgotten = std::get_if<CrashesForgotten>(&action)) {
     for (const CrashFact& fact : forgotten->m_facts) {
       Tell(vm, fact, false);
@@ -196,6 +223,11 @@
     return;
   }
   m_queue.After(kNews, [this, fact, counts] {
+    if (counts) {
+      m_store.insert(fact);
+    } else {
+      m_store.erase(fact);
+    }
     for (const auto& other : m_vms) {
       if (other->m_is_cut_off) {
         continue;
@@ -337,13 +369,8 @@
   server.m_instance = "i-" + std::to_string(server.m_number) + "-" +
                       std::to_string(server.m_runs++);
   const bool is_first = server.m_runs == 1;
-  const ServerEntry entry{server.m_instance,
-                          "s",
-                          {static_cast<uint32_t>(server.m_number), 80},
-                          server.m_domain,
-                          kSlots,
-                          false,
-                          is_first ? Duration{} : Duration{seconds(3)}};
+  const ServerEntry entry =
+      EntryOf(server, is_first ? Duration{} : Duration{seconds(3)});
   m_queue.After(is_first ? Duration{} : kNews, [this, entry] {
     for (const auto& vm : m_vms) {
       vm->m_steering->PutServer(entry, m_queue.Now());
@@ -351,6 +378,14 @@
   });
 }
 
+ServerEntry CrashWorld::EntryOf(const Server& server,
+                                Duration cold_left) const {
+  return {
+      server.m_instance, "s",    {static_cast<uint32_t>(server.m_number), 80},
+      server.m_domain,   kSlots, false,
+      cold_left};
+}
+
 size_t CrashWorld::EndedUnder(const RequestDigest& digest) const {
   return m_crashing.at(digest).m_ended.size();
 }
--- a/tests/crash_world.h
+++ b/tests/crash_world.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,11 @@
   /// A server closes all connections without an answer, and goes on.
   void ResetConnections(size_t server);
 
+  /// From now on a VM hears nothing of requests that other VMs suspect.
+  void CutOffFromNews(size_t vm);
+  /// A VM starts anew; what is in the store it knows at once.
+  void Restart(size_t vm);
+
   TimePoint Now() const { return m_queue.Now(); }
   size_t Vms() const { return m_vms.size(); }
   size_t AnyVm();
@@ -64,6 +70,9 @@
   size_t ReachedAfterThirdEnd(const RequestDigest& digest,
                               Duration later_than) const;
   const CrashWorldCounts& Sound() const { return m_sound; }
+  /// Requests that a VM suspected, and that it held back, of any kind.
+  size_t Suspected() const { return m_suspected; }
+  size_t HeldBack() const { return m_held_back; }
 
  private:
   struct Vm;
@@ -86,6 +95,8 @@
   void Reply(const Work& work, AttemptEnd end);
   void LoseAll(Server& server);
   void StartServer(Server& server);
+  ServerEntry EntryOf(const Server& server, Duration cold_left) const;
+  void StartVm(size_t vm);
   void AskSound(int per_second);
   void AskSoundOnce(const RequestDigest& digest, uint64_t object, int retries);
   bool Crashes(const RequestDigest& digest) const;
@@ -95,8 +106,14 @@
   std::vector<std::unique_ptr<Vm>> m_vms;
   std::vector<std::unique_ptr<Server>> m_servers;
   std::map<RequestDigest, History> m_crashing;
+  /// What the VMs noted.
+  std::set<CrashFact> m_store;
+  std::shared_ptr<const RoutingTable> m_table;
+  std::vector<FleetMember> m_fleet;
   uint64_t m_next = 1;
   CrashWorldCounts m_sound;
+  size_t m_suspected = 0;
+  size_t m_held_back = 0;
 };
 
 }  // namespace sorrelplank
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -89,6 +89,13 @@
     return id;
   }
 
+  /// The same request as all with this digest.
+  RequestId ArriveAgain(const std::string& path, const RequestDigest& digest) {
+    const RequestId id(m_next++);
+    m_steering.Arrived({id, "h", path, 1, seconds(5), digest}, m_now);
+    return id;
+  }
+
   void End(const SendToServer& send, AttemptEnd end) {
     AttemptReport report;
     report.m_end = end;
