Repeat requests that end servers in the soak

Cause: none new. A server of the soak that crashed still took connections and reset them; one whose process has ended refuses them, which is what tells an end from a lost answer.

Change: fault repeat_crashing_request (16 attempts, 50 to 500 ms apart, any VM); CrashingRequests counts ends by request and process. Crashed servers refuse connections.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -9,13 +9,28 @@
 namespace sorrelplank::soak {
 
 FaultProxy::FaultProxy(asio::io_context& io, const ProxyEnds& ends)
-    : m_io(io), m_ends(ends), m_acceptor(io, ends.m_listen) {
+    : m_io(io), m_ends(ends), m_acceptor(io) {
+  Listen();
+}
+
+void FaultProxy::Listen() {
+  if (m_acceptor.is_open()) {
+    return;
+  }
+  m_acceptor.open(m_ends.m_listen.protocol());
+  m_acceptor.set_option(asio::socket_base::reuse_address(true));
+  m_acceptor.bind(m_ends.m_listen);
+  m_acceptor.listen();
   Accept();
 }
 
-FaultProxy::~FaultProxy() {
+void FaultProxy::StopListening() {
   std::error_code ignored;
   m_acceptor.close(ignored);
+}
+
+FaultProxy::~FaultProxy() {
+  StopListening();
   ResetAll();
 }
 
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -41,6 +41,9 @@
   void SetFault(LinkFault fault) { m_fault = fault; }
   /// Each piece of bytes arrives later by this.
   void SetDelay(Duration delay) { m_delay = delay; }
+  /// From now on connections are refused, as where no process listens.
+  void StopListening();
+  void Listen();
   /// Ends all open connections with a reset.
   void ResetAll();
 
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "net/http_client.h"
 #include "platform/wire_names.h"
 #include "serve/clock_func.h"
 #include "soak/soak_world.h"
@@ -25,6 +26,13 @@
 constexpr Duration kEntryLapses = milliseconds(4500);
 /// A server that lives writes its entry again within a heartbeat.
 constexpr Duration kHeartbeat = milliseconds(1500);
+/// A server that a request ended is back after this time.
+constexpr Duration kCrashedFor = seconds(3);
+/// How often a request that ends servers is repeated.
+constexpr int kCrashingAttempts = 16;
+/// All VMs know of an entry, and of the one after it, also those that were cut
+/// off.
+constexpr Duration kNewsOfEntry = seconds(8);
 
 }  // namespace
 
@@ -105,6 +113,7 @@
   }
   const Duration time = Draw(random, milliseconds(300), seconds(5));
   vm.m_is_paused = true;
+  vm.m_paused_until = SteadyNow() + time;
   Trouble(vm, time);
   vm.m_child->Signal(SIGSTOP);
   After(time, [&vm] {
@@ -118,19 +127,90 @@
   if (!server.IsUp()) {
     return;
   }
-  const std::string instance = server.Instance();
   TroubleAll(seconds(1));
+  EndServer(server, Draw(random, milliseconds(500), seconds(6)));
+}
+
+void SoakWorld::EndServer(SoakServer& server, Duration down) {
+  const std::string instance = server.Instance();
   server.Crash();
   After(kEntryLapses, [this, instance] {
     m_store.RemoveKey(platform::kServerPrefix + instance);
   });
-  After(Draw(random, milliseconds(500), seconds(6)), [this, &server, instance] {
+  After(down, [this, &server, instance] {
     if (!server.IsUp() && server.Instance() == instance) {
       RestartServer(server, server.Spec().m_service);
     }
   });
 }
 
+void SoakWorld::RepeatCrashingRequest(Random& random) {
+  const std::string path = "/read/crash" + std::to_string(++m_crashing_drawn);
+  AskCrashing(path, 1, random());
+}
+
+void SoakWorld::AskCrashing(const std::string& path,
+                            int attempt,
+                            uint64_t seed) {
+  Random random(seed);
+  const Vm& vm = AnyVm(random);
+  const ProxyNames names = platform::HeaderNames();
+  const std::string id = path.substr(1) + "-" + std::to_string(attempt);
+  m_ledger.Sent(id, {.m_vm = vm.m_name, .m_path = path, .m_body = ""});
+  m_crashing.Asked(id, path, {vm.m_name, vm.m_starts});
+  HttpFetch fetch;
+  fetch.m_url = "http://" + CallerAddress(vm) + path;
+  fetch.m_headers = {{"Host", "soak.example"},
+                     {names.m_request_id, id},
+                     {names.m_deadline_ms, "3000"},
+                     {names.m_object, "1"}};
+  fetch.m_timeout = seconds(4);
+  fetch.m_fresh_connection = true;
+  fetch.m_close_connection = true;
+  m_http.Start(std::move(fetch), [this, id](const HttpResult& result) {
+    EndAttempt(id, result);
+  });
+  if (attempt < kCrashingAttempts) {
+    const Duration pause = Draw(random, milliseconds(50), milliseconds(500));
+    After(pause, [this, path, attempt, next = random()] {
+      AskCrashing(path, attempt + 1, next);
+    });
+  }
+}
+
+void SoakWorld::EndAttempt(const std::string& id, const HttpResult& result) {
+  const ProxyNames names = platform::HeaderNames();
+  if (result.m_end != FetchEnd::kAnswered) {
+    const bool is_connected = result.m_end != FetchEnd::kConnectFailed;
+    m_ledger.Ended(id,
+                   is_connected ? CallerEnd::kCut : CallerEnd::kNotAccepted);
+    return;
+  }
+  const HttpResponse& response = result.m_response;
+  const std::string* echoed = FindField(response.m_headers, names.m_request_id);
+  m_ledger.Answered(id, {.m_status = response.m_status,
+                         .m_has_stamp = FindField(response.m_headers,
+                                                  names.m_stamp) != nullptr,
+                         .m_request_id = echoed == nullptr ? "" : *echoed,
+                         .m_body = response.m_body});
+  const Vm* vm = FindVm(m_ledger.Find(id)->m_vm);
+  if (SteadyNow() > vm->m_paused_until + kCrashedFor) {
+    m_crashing.Answered(id);
+  }
+}
+
+void SoakWorld::OnCrash(const std::string& id, SoakServer& server) {
+  const TimePoint now = SteadyNow();
+  const auto overwritten = m_overwritten.find(server.Instance());
+  const bool is_overwritten = overwritten != m_overwritten.end() &&
+                              now < overwritten->second + kNewsOfEntry;
+  const bool is_told = !is_overwritten &&
+                       !m_leaving.contains(server.Instance()) &&
+                       !m_evacuated.contains(server.Spec().m_failure_domain);
+  m_crashing.Ended(id, is_told, now);
+  EndServer(server, kCrashedFor);
+}
+
 void SoakWorld::RestartServerUnderItsId(Random& random) {
   SoakServer& server = AnyServer(random);
   const std::string instance = server.Instance();
@@ -155,6 +235,7 @@
   if (!server.IsUp() || m_leaving.contains(instance)) {
     return;
   }
+  m_overwritten[instance] = SteadyNow();
   constexpr const char* kForeign[] = {"", "{", "[]", "\xff\xfe\x01",
                                       R"({"State":"ready"})"};
   m_store.PutText(platform::kServerPrefix + instance,
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -45,6 +45,7 @@
     {"store_forgets_history", false, &SoakWorld::StoreForgetsHistory},
     {"restart_server_under_its_id", false, &SoakWorld::RestartServerUnderItsId},
     {"overwrite_server_entry", false, &SoakWorld::OverwriteServerEntry},
+    {"repeat_crashing_request", false, &SoakWorld::RepeatCrashingRequest},
 };
 
 /// Time from the start of the processes until faults begin.
@@ -143,8 +144,9 @@
               << " not_run=" << counts.m_not_run
               << " failure=" << counts.m_failure << " cut=" << counts.m_cut
               << " not_accepted=" << counts.m_not_accepted
-              << " runs=" << counts.m_runs << " breaches=" << breaches.size()
-              << std::endl;
+              << " runs=" << counts.m_runs
+              << " servers_ended=" << m_world.Crashing().ServersEnded()
+              << " breaches=" << breaches.size() << std::endl;
     for (const std::string& breach : breaches) {
       std::cout << "  " << breach << "\n";
     }
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -6,6 +6,7 @@
 
 #include "platform/wire_names.h"
 #include "serve/clock_func.h"
+#include "soak/crashing_requests.h"
 #include "soak/ledger.h"
 
 namespace sorrelplank::soak {
@@ -31,11 +32,13 @@
 SoakServer::SoakServer(asio::io_context& io,
                        SoakServerSpec spec,
                        Ledger& ledger,
-                       RunHandler on_run)
+                       RunHandler on_run,
+                       CrashHandler on_crash)
     : m_io(io),
       m_spec(std::move(spec)),
       m_ledger(ledger),
       m_on_run(std::move(on_run)),
+      m_on_crash(std::move(on_crash)),
       m_proxy(io, EndsOf(m_spec)),
       m_server(io,
                m_spec.m_ip,
@@ -54,7 +57,7 @@
   ++m_life;
   m_running = 0;
   m_queue.clear();
-  m_proxy.SetFault(LinkFault::kRefuse);
+  m_proxy.StopListening();
   m_proxy.ResetAll();
 }
 
@@ -67,6 +70,7 @@
   m_started = std::chrono::duration_cast<milliseconds>(WallNow());
   m_proxy.SetFault(LinkFault::kNone);
   m_proxy.SetDelay({});
+  m_proxy.Listen();
 }
 
 void SoakServer::Reject(const HttpRequest& request,
@@ -107,6 +111,16 @@
   m_ledger.Runs(id, m_instance, work.m_request.m_target, work.m_request.m_body);
   m_on_run(id, *this);
   ++m_running;
+  if (CrashingRequests::Ends(work.m_request.m_target)) {
+    auto timer =
+        std::make_shared<asio::steady_timer>(m_io, milliseconds(kRunMs));
+    timer->async_wait([this, timer, life = m_life, id](std::error_code) {
+      if (life == m_life) {
+        m_on_crash(id, *this);
+      }
+    });
+    return;
+  }
   std::uniform_int_distribution<int> spread(kRunMs, 3 * kRunMs);
   auto timer = std::make_shared<asio::steady_timer>(
       m_io, milliseconds(spread(m_random)));
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -34,11 +34,15 @@
   /// Told of each request that begins to run: its id and this server.
   using RunHandler =
       std::function<void(const std::string& id, const SoakServer& server)>;
+  /// Told of a request that ends this server.
+  using CrashHandler =
+      std::function<void(const std::string& id, SoakServer& server)>;
 
   SoakServer(asio::io_context& io,
              SoakServerSpec spec,
              Ledger& ledger,
-             RunHandler on_run);
+             RunHandler on_run,
+             CrashHandler on_crash);
 
   const SoakServerSpec& Spec() const { return m_spec; }
   const std::string& Instance() const { return m_instance; }
@@ -70,6 +74,7 @@
   SoakServerSpec m_spec;
   Ledger& m_ledger;
   RunHandler m_on_run;
+  CrashHandler m_on_crash;
   std::string m_instance;
   bool m_is_up = false;
   milliseconds m_started{};
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -71,6 +71,7 @@
       // A network of its own for each process, so that two soaks do not meet.
       m_network("127." + std::to_string(64 + getpid() % 128) + "." +
                 std::to_string(getpid() / 128 % 256) + "."),
+      m_http(io),
       m_store(io),
       m_poll(io) {
   m_store_server = std::make_unique<HttpServer>(
@@ -102,8 +103,12 @@
         m_servers.push_back(std::make_unique<SoakServer>(
             io,
             SoakServerSpec{service, domain, Ip(100 + number++), kServerPort},
-            m_ledger, [this](const std::string& id, const SoakServer& where) {
+            m_ledger,
+            [this](const std::string& id, const SoakServer& where) {
               OnRun(id, where);
+            },
+            [this](const std::string& id, SoakServer& where) {
+              OnCrash(id, where);
             }));
       }
     }
@@ -253,6 +258,10 @@
   }
 }
 
+std::string SoakWorld::CallerAddress(const Vm& vm) {
+  return AddressText(vm.m_ip, kCallerPort);
+}
+
 CallerTarget SoakWorld::PickTarget() {
   const Vm& vm = m_vms[m_random() % m_vms.size()];
   return {vm.m_name, Endpoint(vm.m_ip, kCallerPort)};
@@ -293,6 +302,7 @@
   Trouble(vm, milliseconds(500));
   After(milliseconds(300), [&vm] {
     if (!vm.m_child->IsRunning()) {
+      ++vm.m_starts;
       vm.m_child->Start();
     }
   });
@@ -329,10 +339,15 @@
 void SoakWorld::OnRun(const std::string& id, const SoakServer& server) {
   const CallerRequest* request = m_ledger.Find(id);
   Vm* vm = request == nullptr ? nullptr : FindVm(request->m_vm);
-  if (!m_options.m_checks_times || vm == nullptr || !IsCalm(*vm)) {
+  const TimePoint now = SteadyNow();
+  const bool is_timed =
+      m_options.m_checks_times && vm != nullptr && IsCalm(*vm);
+  if (request != nullptr && CrashingRequests::Ends(request->m_path)) {
+    m_crashing.Runs(id, is_timed, now);
+  }
+  if (!is_timed) {
     return;
   }
-  const TimePoint now = SteadyNow();
   const auto leaving = m_leaving.find(server.Instance());
   if (leaving != m_leaving.end() && now > leaving->second + Bound(kDrainS)) {
     m_ledger.Breach(
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -13,7 +13,9 @@
 #include <vector>
 
 #include "core/time_type.h"
+#include "net/http_client.h"
 #include "net/http_server.h"
+#include "soak/crashing_requests.h"
 #include "soak/edge_child.h"
 #include "soak/fault_proxy.h"
 #include "soak/ledger.h"
@@ -50,6 +52,7 @@
   /// Ends all faults at once.
   void Heal();
   Ledger& Records() { return m_ledger; }
+  const CrashingRequests& Crashing() const { return m_crashing; }
 
   // Planned work.
   void StopVm(Random& random);
@@ -75,6 +78,7 @@
   void StoreForgetsHistory(Random& random);
   void RestartServerUnderItsId(Random& random);
   void OverwriteServerEntry(Random& random);
+  void RepeatCrashingRequest(Random& random);
 
  private:
   /// One entry VM.
@@ -91,6 +95,8 @@
     /// Promises with a time bound hold for it from then on.
     TimePoint m_troubled_until{};
     int m_settings_number = 0;
+    int m_starts = 0;
+    TimePoint m_paused_until{};
   };
 
   void WriteSettings(Vm& vm);
@@ -102,7 +108,14 @@
   void PollVm(Vm& vm);
   void OnRun(const std::string& id, const SoakServer& server);
   void OnCut(const std::string& id);
+  /// Ends a server; its entry lapses, and it is back after the time given.
+  void EndServer(SoakServer& server, Duration down);
+  void OnCrash(const std::string& id, SoakServer& server);
+  void AskCrashing(const std::string& path, int attempt, uint64_t seed);
+  void EndAttempt(const std::string& id, const HttpResult& result);
   CallerTarget PickTarget();
+  /// Where a VM takes callers' requests, "IP:PORT".
+  static std::string CallerAddress(const Vm& vm);
   bool IsCalm(const Vm& vm) const;
   Vm* FindVm(const std::string& name);
   Vm& AnyVm(Random& random);
@@ -117,6 +130,8 @@
   WorldOptions m_options;
   std::string m_network;
   Ledger m_ledger;
+  CrashingRequests m_crashing{m_ledger};
+  HttpClient m_http;
   StoreStandin m_store;
   std::unique_ptr<HttpServer> m_store_server;
   std::vector<std::unique_ptr<SoakServer>> m_servers;
@@ -126,9 +141,12 @@
   std::minstd_rand m_random;
   uint64_t m_version = 0;
   uint64_t m_next_instance = 1;
+  int m_crashing_drawn = 0;
   /// When the store took an instance's leaving, or a domain's evacuation.
   std::map<std::string, TimePoint> m_leaving;
   std::map<std::string, TimePoint> m_evacuated;
+  /// When something else wrote over a server's entry.
+  std::map<std::string, TimePoint> m_overwritten;
   std::shared_ptr<bool> m_is_alive = std::make_shared<bool>(true);
 };
 
