List and release requests that are held back

Ruled out: ending a hold when servers of another version appear: each VM would try the request once more, twelve or seven hundred tries where three are allowed.

--- a/src/cli/command_type.h
+++ b/src/cli/command_type.h
@@ -27,6 +27,7 @@
 
 int RunServe(std::vector<std::string> arguments);
 int RunEdge(std::vector<std::string> arguments);
+int RunHeld(std::vector<std::string> arguments);
 int RunCheck(std::vector<std::string> arguments);
 int RunDiff(std::vector<std::string> arguments);
 int RunApply(std::vector<std::string> arguments);
--- a/src/main.cc
+++ b/src/main.cc
@@ -13,6 +13,7 @@
 constexpr Command kCommands[] = {
     {"serve", "run the process of an entry VM", RunServe},
     {"edge", "route requests on the platform", RunEdge},
+    {"held", "list or release requests that crash servers", RunHeld},
     {"check", "check a configuration folder; prints every fault", RunCheck},
     {"diff", "show what an apply would change", RunDiff},
     {"apply", "publish a configuration folder", RunApply},
--- /dev/null
+++ b/tests/held_command_test.cc
@@ -0,0 +1,99 @@
+/// @file held_command_test.cc The operator's list of requests that end servers.
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <asio.hpp>
+#include <cstdio>
+#include <string>
+#include <thread>
+
+#include "net/http_server.h"
+#include "platform/decode_func.h"
+#include "standin/store_standin.h"
+#include "tests/free_port_func.h"
+
+namespace sorrelplank::platform {
+namespace {
+
+constexpr RequestDigest kHeld{.m_high = 1, .m_low = 1};
+constexpr RequestDigest kSuspected{.m_high = 1, .m_low = 2};
+
+/// A store that holds facts of two requests, served by a thread of its own.
+struct HeldFixture {
+  asio::io_context m_io{1};
+  uint16_t m_port = FreePort();
+  StoreStandin m_store{m_io};
+  HttpServer m_server{
+      m_io,
+      "127.0.0.1",
+      m_port,
+      {},
+      [this](const HttpRequest& request, const HttpReply& reply) {
+        m_store.Serve(request, reply);
+      }};
+  std::thread m_thread;
+
+  HeldFixture() {
+    for (const char* run : {"a", "b", "c"}) {
+      Put({kHeld, run});
+    }
+    Put({kSuspected, "a"});
+    m_thread = std::thread([this] { m_io.run(); });
+  }
+  ~HeldFixture() {
+    m_io.stop();
+    m_thread.join();
+  }
+
+  void Put(const CrashFact& fact) {
+    m_store.PutText(CrashKey(fact),
+                    EncodeCrash({{fact, "reads", "h.example", "/read/7"},
+                                 "vm-1",
+                                 milliseconds(1)}));
+  }
+
+  /// What the command prints.
+  std::string Run(const std::string& options) const {
+    const std::string command =
+        std::string(BINARY_DIR) +
+        "/sorrelplank held --store 127.0.0.1:" + std::to_string(m_port) + " " +
+        options + " 2>&1";
+    FILE* const pipe = popen(command.c_str(), "r");
+    cr_assert_not_null(pipe);
+    std::string text;
+    std::array<char, 256> buffer{};
+    while (fgets(buffer.data(), buffer.size(), pipe) != nullptr) {
+      text += buffer.data();
+    }
+    pclose(pipe);
+    return text;
+  }
+};
+
+bool Holds(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+Test(HeldCommand, TwoRequests_List_TellsWhichIsHeldBack) {
+  const HeldFixture fixture;
+  const std::string text = fixture.Run("");
+  cr_assert(Holds(text, FormatDigest(kHeld) +
+                            "  held back  3 servers ended  reads  "
+                            "h.example/read/7\n"));
+  cr_assert(Holds(text, FormatDigest(kSuspected) + "  suspected  1 servers"));
+}
+
+// The cause is mended: the request is released, and only that one.
+Test(HeldCommand, HeldRequest_Released_IsGoneFromTheStore) {
+  const HeldFixture fixture;
+  cr_assert(Holds(fixture.Run("--release " + FormatDigest(kHeld)), "released"));
+  const std::string text = fixture.Run("--json");
+  cr_assert_not(Holds(text, FormatDigest(kHeld)));
+  cr_assert(Holds(text, FormatDigest(kSuspected)));
+  cr_assert(Holds(fixture.Run("--release " + FormatDigest(kHeld)),
+                  "nothing is known of"));
+}
+
+}  // namespace
+}  // namespace sorrelplank::platform
