Tell an entry VM that was stopped while it loaded from one that failed to stop

Callers see nothing: the process had not listened.

Cause: SIGTERM came before the process could have a handler.

Ruled out: taking the signals earlier.

Change: the check asked for what no program can do. Now a process ended by SIGTERM is passed over only if it has not written its first line, which it does after its handlers are set and before it answers; with a line it is a failed stop as before.

Why it holds: the first line is written by the loop that takes the signals.

--- a/soak/edge_child.cc
+++ b/soak/edge_child.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <stdexcept>
 #include <utility>
 
@@ -24,7 +25,14 @@
   }
 }
 
+uintmax_t EdgeChild::LogBytes() const {
+  std::error_code missing;
+  const uintmax_t bytes = std::filesystem::file_size(m_log, missing);
+  return missing ? 0 : bytes;
+}
+
 void EdgeChild::Start() {
+  m_log_begin = LogBytes();
   std::string command = "edge";
   std::string option = "--settings";
   char* const arguments[] = {m_program.data(), command.data(), option.data(),
@@ -61,6 +69,7 @@
   }
   m_pid = -1;
   result.m_has_exited = true;
+  result.m_had_begun = LogBytes() > m_log_begin;
   if (WIFEXITED(status)) {
     result.m_code = WEXITSTATUS(status);
   } else {
--- a/soak/edge_child.h
+++ b/soak/edge_child.h
@@ -6,6 +6,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 
 namespace sorrelplank::soak {
@@ -16,6 +17,8 @@
   /// Exit code; -1 for a signal.
   int m_code = -1;
   int m_signal = 0;
+  /// It had written a line: it listened, and took signals by its handlers.
+  bool m_had_begun = false;
 };
 
 /// Starts `sorrelplank edge`; whatever still runs is killed at the end, by its
@@ -34,9 +37,13 @@
   bool IsRunning() const { return m_pid > 0; }
 
  private:
+  uintmax_t LogBytes() const;
+
   std::string m_program;
   std::string m_settings;
   std::string m_log;
+  /// Bytes in the log when the process was started.
+  uintmax_t m_log_begin = 0;
   pid_t m_pid = -1;
 };
 
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -291,7 +292,13 @@
   if (!end.m_has_exited) {
     return;
   }
-  if (!vm.m_end_is_expected || (is_stopping && end.m_code != 0)) {
+  // Until its libraries are loaded no program can set a handler, and SIGTERM
+  // ends it by default; it has not listened by then.
+  const bool was_stopped_while_loading =
+      is_stopping && end.m_signal == SIGTERM && !end.m_had_begun;
+  const bool is_failed_stop =
+      is_stopping && end.m_code != 0 && !was_stopped_while_loading;
+  if (!vm.m_end_is_expected || is_failed_stop) {
     m_ledger.Breach("no end of its own", vm.m_name,
                     "is a VM that ended with code " +
                         std::to_string(end.m_code) + ", signal " +
