Tell in the log what is known of a request that is refused or suspected

Cause: a refusal named the request by the id of one attempt; what servers ended under is known by its content.

--- a/src/cli/explain_log_command.cc
+++ b/src/cli/explain_log_command.cc
@@ -18,6 +18,7 @@
 /// What of the log is shown.
 struct LogFilter {
   std::string m_request;
+  std::string m_content;
   std::string m_vm;
   bool m_only_changes = false;
 };
@@ -31,6 +32,12 @@
   if (!filter.m_vm.empty() && event.m_vm != filter.m_vm) {
     return false;
   }
+  const auto content = event.m_fields.find("content");
+  const bool has_content =
+      content != event.m_fields.end() && *content == filter.m_content;
+  if (!filter.m_content.empty() && !has_content) {
+    return false;
+  }
   return filter.m_request.empty() ||
          (is_of_request && *request == filter.m_request);
 }
@@ -77,6 +84,9 @@
       ' ', SORRELPLANK_VERSION);
   TCLAP::ValueArg<std::string> request_arg(
       "", "request", "only this request id", false, "", "ID", line);
+  TCLAP::ValueArg<std::string> content_arg(
+      "", "content", "only sends, refusals and beliefs on this content", false,
+      "", "CONTENT", line);
   TCLAP::ValueArg<std::string> vm_arg("", "vm", "only this entry VM", false, "",
                                       "NAME", line);
   TCLAP::SwitchArg changes_arg(
@@ -93,8 +103,8 @@
     return kExitRefused;
   }
   const std::vector<LogEvent> events = MergeLogs(ParseLogLines(*text));
-  const LogFilter filter{request_arg.getValue(), vm_arg.getValue(),
-                         changes_arg.getValue()};
+  const LogFilter filter{request_arg.getValue(), content_arg.getValue(),
+                         vm_arg.getValue(), changes_arg.getValue()};
   size_t shown = 0;
   for (const LogEvent& event : events) {
     if (!Matches(filter, event)) {
--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -249,6 +249,8 @@
   m_log.Write("refuse",
               {{"request", open.m_id},
                {"reason", row.m_name},
+               {"content", FormatDigest(open.m_digest)},
+               {"ends", static_cast<int64_t>(action.m_ends)},
                {"verdict", VerdictName(row.m_verdict)},
                {"waited_ms", LogMs(action.m_waited)},
                {"sends", int64_t{action.m_sends}},
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -61,6 +61,8 @@
   Duration m_waited{};
   uint64_t m_table_version = 0;
   uint32_t m_sends = 0;
+  /// Servers that ended under the request.
+  size_t m_ends = 0;
 };
 
 /// Nothing to do: what the decisions believe has changed, for logs.
