Split what had grown: ends of requests, the probe, the gauges

Callers see nothing.

Ruled out: another class for the ends of requests: they change the same state as the sends.

Change: steering_ends.cc (moved as it was), ServerProbe with two tests, ReadGauges, ServedStore for tests. Requests held while the table is read for the first time are now named m_awaits_table, since "held back" means another thing.

--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "proxy/server_connection.h"
+#include "proxy/server_probe.h"
 #include "serve/clock_func.h"
 
 namespace sorrelplank {
@@ -117,42 +118,9 @@
 
 void ServerPool::Check(VmAddress address,
                        std::function<void(ServerReach)> handler) {
-  struct Probe {
-    asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_limit;
-    bool m_is_done = false;
-  };
   ++m_opened;
-  const auto probe = std::make_shared<Probe>(
-      Probe{asio::ip::tcp::socket(m_io), asio::steady_timer(m_io)});
-  const auto finish = [probe, handler = std::move(handler)](ServerReach reach) {
-    if (probe->m_is_done) {
-      return;
-    }
-    probe->m_is_done = true;
-    probe->m_limit.cancel();
-    std::error_code ignored;
-    // There is nothing to tell of a close that fails.
-    probe->m_socket.close(ignored);
-    handler(reach);
-  };
-  probe->m_limit.expires_after(kConnectTimeout);
-  probe->m_limit.async_wait([finish](std::error_code error) {
-    if (!error) {
-      finish(ServerReach::kUnknown);
-    }
-  });
-  probe->m_socket.async_connect(
-      {asio::ip::address_v4(address.m_ip), address.m_port},
-      [finish](std::error_code error) {
-        if (error == asio::error::operation_aborted) {
-          return;
-        }
-        const bool is_refused = error == asio::error::connection_refused;
-        finish(!error       ? ServerReach::kOpens
-               : is_refused ? ServerReach::kRefuses
-                            : ServerReach::kUnknown);
-      });
+  std::make_shared<ServerProbe>(m_io, std::move(handler))
+      ->Start(address, kConnectTimeout);
 }
 
 void ServerPool::CloseExpired(TimePoint now) {
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -57,7 +57,7 @@
   /// Sends of which a byte may have reached a server.
   uint32_t m_arrivals = 0;
   /// Held until the routing table has been read.
-  bool m_is_held = false;
+  bool m_awaits_table = false;
   bool m_waits = false;
   /// Whose slot it waits for first of all.
   std::shared_ptr<ServerTrack> m_waits_for;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -91,10 +91,10 @@
     // former service, and servers that turned cold meanwhile. Refused, the
     // client would use up one of its few retries and be late by the time to
     // come back; the table is there sooner than it would be back.
-    request.m_is_held = true;
+    request.m_awaits_table = true;
     request.m_finish_by =
         now + std::min<Duration>(request.m_facts.m_time_left, kMostHeld);
-    m_held.push_back(id);
+    m_awaiting_table.push_back(id);
     return;
   }
   if (!m_table) {
@@ -113,17 +113,17 @@
 
 void Steering::SetLoading(bool is_loading, TimePoint now) {
   m_is_loading = is_loading;
-  if (is_loading || m_held.empty()) {
+  if (is_loading || m_awaiting_table.empty()) {
     return;
   }
   // The split over regions must be set by the servers before the first request
   // starts it; begun with all requests at home, it took ten seconds to move.
   UpdateShares(now);
   std::list<RequestId> held;
-  held.swap(m_held);
+  held.swap(m_awaiting_table);
   for (const RequestId id : held) {
     SteeredRequest& request = m_requests.at(id);
-    request.m_is_held = false;
+    request.m_awaits_table = false;
     if (m_table) {
       Admit(request, now);
     } else {
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -187,7 +187,7 @@
   bool m_refuses_new = false;
   bool m_is_loading = false;
   /// Requests held while loading, in the order of arrival.
-  std::list<RequestId> m_held;
+  std::list<RequestId> m_awaiting_table;
   TimePoint m_shares_updated{};
   CrashRegister m_crashes;
   /// By the server's instance.
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -1,4 +1,4 @@
-/// @file steering_requests.cc The way of one request: send, wait, end.
+/// @file steering_requests.cc The way of one request: send, wait, send again.
 
 #include <algorithm>
 #include <utility>
@@ -30,9 +30,6 @@
 /// known to be so costs a round trip, or the time limit on opening a
 /// connection.
 constexpr size_t kMostTries = 5;
-/// When to come back while nothing is known of the service: a start takes
-/// about this long to read the store.
-constexpr Duration kUnknownRetryAfter = milliseconds(300);
 
 }  // namespace
 
@@ -246,7 +243,7 @@
 }
 
 void Steering::CheckTime(SteeredRequest& request, TimePoint now) {
-  if (request.m_is_held) {
+  if (request.m_awaits_table) {
     if (now >= request.m_finish_by) {
       Refuse(request, SteerRefusal::kNotReady, now);
     }
@@ -284,119 +281,4 @@
   TrySend(request, Choose(request, now).m_free, now);
 }
 
-void Steering::Refuse(SteeredRequest& request,
-                      SteerRefusal reason,
-                      TimePoint now) {
-  RefuseRequest refusal;
-  refusal.m_request = request.m_facts.m_request;
-  refusal.m_retry_after = kUnknownRetryAfter;
-  refusal.m_waited = now - request.m_arrived;
-  refusal.m_table_version = m_table ? m_table->m_version : 0;
-  refusal.m_sends = static_cast<uint32_t>(request.m_tried.size());
-  refusal.m_ends = m_crashes.Ends(request.m_facts.m_digest, now);
-  if (request.m_route != nullptr) {
-    SteeredService& service = Service(request.m_service);
-    refusal.m_line = service.Line(Choose(request, now).m_first, now);
-    refusal.m_retry_after =
-        ComeBackAfter(refusal.m_line, refusal.m_request.Get());
-  }
-  if (reason == SteerRefusal::kHeldBack) {
-    refusal.m_retry_after = m_crashes.HeldFor(request.m_facts.m_digest, now);
-  }
-  const bool promises_not_run =
-      DescribeSteerRefusal(reason).m_verdict == Verdict::kNotRun;
-  if (request.m_may_have_run && promises_not_run) {
-    reason = SteerRefusal::kLost;
-  }
-  refusal.m_reason = reason;
-  m_sink(refusal);
-  Forget(refusal.m_request);
-}
-
-void Steering::CancelLive(SteeredRequest& request,
-                          bool counts_as_lost,
-                          TimePoint now) {
-  for (const LiveAttempt& live : request.m_live) {
-    if (counts_as_lost) {
-      AttemptReport report;
-      report.m_end = AttemptEnd::kLost;
-      CountEnd(*live.m_server, report, now);
-    } else {
-      live.m_server->CountCancel();
-    }
-    m_sink(CancelSend{request.m_facts.m_request, live.m_attempt});
-  }
-  request.m_live.clear();
-}
-
-void Steering::EndSendsTo(const ServerTrack& server, TimePoint now) {
-  std::vector<std::pair<RequestId, AttemptId>> sends;
-  for (const auto& [id, request] : m_requests) {
-    for (const LiveAttempt& live : request.m_live) {
-      if (live.m_server.get() == &server) {
-        sends.emplace_back(id, live.m_attempt);
-      }
-    }
-  }
-  // The server that runs now knows nothing of them, and their connections may
-  // stay silent. Left alone, callers wait until their deadlines for answers
-  // that can no longer come.
-  AttemptReport lost;
-  lost.m_end = AttemptEnd::kLost;
-  lost.m_server_ended = true;
-  for (const auto& [request, attempt] : sends) {
-    if (m_requests.contains(request)) {
-      m_sink(CancelSend{request, attempt});
-      Ended(request, attempt, lost, now);
-    }
-  }
-}
-
-void Steering::CountEnd(ServerTrack& server,
-                        const AttemptReport& report,
-                        TimePoint now) {
-  const UsualService usual = Service(server.Entry().m_service).Usual();
-  const uint32_t failures = server.FailuresInRow();
-  server.CountEnd(report, now);
-  const std::string& instance = server.Entry().m_instance;
-  if (server.FailuresInRow() > failures && server.IsResting(now, usual)) {
-    m_sink(BeliefChanged{"server_rests", instance,
-                         static_cast<double>(server.FailuresInRow())});
-  } else if (failures > 0 && server.FailuresInRow() == 0) {
-    m_sink(BeliefChanged{"server_recovered", instance,
-                         static_cast<double>(failures)});
-  }
-  CountReach(server, report.m_end, now);
-}
-
-void Steering::CountReach(const ServerTrack& server,
-                          AttemptEnd end,
-                          TimePoint now) {
-  const std::string& domain = server.Entry().m_failure_domain;
-  DomainBreaker& breaker = m_picker.Breaker(domain);
-  if (end == AttemptEnd::kNotSent) {
-    if (breaker.CountUnreached(server.Entry().m_instance, now)) {
-      m_sink(BeliefChanged{"domain_out_of_reach", domain, 0});
-      UpdateShares(now);
-    }
-    return;
-  }
-  // A send that is lost may have been written into a link that is cut.
-  if (end != AttemptEnd::kLost && breaker.CountReached()) {
-    m_sink(BeliefChanged{"domain_within_reach", domain, 0});
-  }
-}
-
-void Steering::Forget(RequestId id) {
-  const auto it = m_requests.find(id);
-  if (it->second.m_waits) {
-    Service(it->second.m_service).Waiting().remove(id);
-    StopWaiting(it->second);
-  }
-  if (it->second.m_is_held) {
-    m_held.remove(id);
-  }
-  m_requests.erase(it);
-}
-
 }  // namespace sorrelplank
--- a/tests/edge_child_test.cc
+++ b/tests/edge_child_test.cc
@@ -54,7 +54,8 @@
 // has not listened yet.
 Test(EdgeChild, SigtermBeforeItsFirstLine_End_HadNotBegun) {
   const ChildFixture fixture;
-  const ChildExit end = fixture.EndOf(fixture.TouchReady() + "; exec sleep 100");
+  const ChildExit end =
+      fixture.EndOf(fixture.TouchReady() + "; exec sleep 100");
   cr_assert_eq(end.m_signal, SIGTERM);
   cr_assert_not(end.m_had_begun);
 }
--- a/tests/held_command_test.cc
+++ b/tests/held_command_test.cc
@@ -8,10 +8,8 @@
 #include <string>
 #include <thread>
 
-#include "net/http_server.h"
 #include "platform/decode_func.h"
-#include "standin/store_standin.h"
-#include "tests/free_port_func.h"
+#include "tests/served_store.h"
 
 namespace sorrelplank::platform {
 namespace {
@@ -20,18 +18,7 @@
 constexpr RequestDigest kSuspected{.m_high = 1, .m_low = 2};
 
 /// A store that holds facts of two requests, served by a thread of its own.
-struct HeldFixture {
-  asio::io_context m_io{1};
-  uint16_t m_port = FreePort();
-  StoreStandin m_store{m_io};
-  HttpServer m_server{
-      m_io,
-      "127.0.0.1",
-      m_port,
-      {},
-      [this](const HttpRequest& request, const HttpReply& reply) {
-        m_store.Serve(request, reply);
-      }};
+struct HeldFixture : ServedStore {
   std::thread m_thread;
 
   HeldFixture() {
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -11,30 +11,17 @@
 #include <string>
 
 #include "net/http_client.h"
-#include "net/http_server.h"
 #include "platform/feed_client.h"
 #include "platform/registration.h"
 #include "platform/store_client.h"
 #include "proxy/decision_log.h"
-#include "standin/store_standin.h"
-#include "tests/free_port_func.h"
+#include "tests/served_store.h"
 
 namespace sorrelplank::platform {
 namespace {
 
 /// A stand-in store and a watch on it, over loopback.
-struct WatchFixture {
-  asio::io_context m_io{1};
-  uint16_t m_port = FreePort();
-  StoreStandin m_store{m_io};
-  HttpServer m_server{
-      m_io,
-      "127.0.0.1",
-      m_port,
-      {},
-      [this](const HttpRequest& request, const HttpReply& reply) {
-        m_store.Serve(request, reply);
-      }};
+struct WatchFixture : ServedStore {
   HttpClient m_http{m_io};
   StoreClient m_client{
       VmAddress{asio::ip::address_v4::loopback().to_uint(), m_port},
