--- a/tests/crash_world.cc
+++ b/tests/crash_world.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Duration kLink = milliseconds(1);
-constexpr Duration kNews = milliseconds(300);
 constexpr Duration kTick = milliseconds(20);
 constexpr Duration kWork = milliseconds(100);
 constexpr Duration kTimeToCrash = milliseconds(60);
@@ -54,8 +53,8 @@
   std::vector<Work> m_work;
 };
 
-CrashWorld::CrashWorld(size_t vms, size_t servers, uint32_t seed)
-    : m_random(seed) {
+CrashWorld::CrashWorld(size_t vms, size_t servers, uint32_t seed, Duration news)
+    : m_news(news), m_random(seed) {
   auto table = std::make_shared<RoutingTable>();
   table->m_version = 1;
   table->m_routes = {MakeRoute("/read/", true)};
@@ -222,7 +221,7 @@
   if (m_vms[vm]->m_is_cut_off) {
     return;
   }
-  m_queue.After(kNews, [this, fact, counts] {
+  m_queue.After(m_news, [this, fact, counts] {
     if (counts) {
       m_store.insert(fact);
     } else {
@@ -233,7 +232,7 @@
         continue;
       }
       if (counts) {
-        other->m_steering->TakeCrash(fact, kNews, m_queue.Now());
+        other->m_steering->TakeCrash(fact, m_news, m_queue.Now());
       } else {
         other->m_steering->DropCrash(fact, m_queue.Now());
       }
@@ -371,7 +370,7 @@
   const bool is_first = server.m_runs == 1;
   const ServerEntry entry =
       EntryOf(server, is_first ? Duration{} : Duration{seconds(3)});
-  m_queue.After(is_first ? Duration{} : kNews, [this, entry] {
+  m_queue.After(is_first ? Duration{} : m_news, [this, entry] {
     for (const auto& vm : m_vms) {
       vm->m_steering->PutServer(entry, m_queue.Now());
     }
--- a/tests/crash_world.h
+++ b/tests/crash_world.h
@@ -34,10 +34,13 @@
 };
 
 /// Each VM has real decisions. News of servers, and of requests that they ended
-/// under, reaches every VM 300 ms late by way of the store.
+/// under, reaches every VM late by way of the store.
 class CrashWorld {
  public:
-  CrashWorld(size_t vms, size_t servers, uint32_t seed);
+  CrashWorld(size_t vms,
+             size_t servers,
+             uint32_t seed,
+             Duration news = milliseconds(300));
   ~CrashWorld();
 
   void RunFor(Duration time);
@@ -102,6 +105,7 @@
   bool Crashes(const RequestDigest& digest) const;
 
   trial::EventQueue m_queue;
+  Duration m_news;
   std::minstd_rand m_random;
   std::vector<std::unique_ptr<Vm>> m_vms;
   std::vector<std::unique_ptr<Server>> m_servers;
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -46,6 +46,21 @@
   }
 }
 
+// Many VMs, and news as late as a relay that fell silent makes it. The request
+// comes ten times a second, each time to another VM. Servers end until the news
+// is there, and no longer.
+Test(CrashingRequest, ManyVms_LateNews_ReachesThreeMoreAtMost) {
+  CrashWorld world(30, 60, 1, seconds(2));
+  world.MakeCrashing(kCrashing);
+  world.StartSoundRequests(120);
+  world.RunFor(seconds(3));
+  for (int attempt = 0; attempt < 200; ++attempt) {
+    world.Ask(world.AnyVm(), kCrashing, 4);
+    world.RunFor(milliseconds(100));
+  }
+  cr_assert_leq(world.ReachedAfterThirdEnd(kCrashing, kContact), 3);
+}
+
 // One VM hears nothing of the others. It lets the request through until it has
 // seen three ends itself, and no longer.
 Test(CrashingRequest, Repeated_OneVmHearsNothing_ThatOneEndsThreeMore) {
