--- a/src/steer/steering_crashes.cc
+++ b/src/steer/steering_crashes.cc
@@ -49,8 +49,8 @@
     return;
   }
   const size_t ends = m_crashes.Ends(request.m_facts.m_digest, now) + 1;
-  // Sent on before the check, it could end the next server. Those that were at
-  // no end before do not wait.
+  // Sent on before the check, it could end the next server. One that was at no
+  // end before, and was lost for the first time, does not wait.
   request.m_awaits_check =
       request.m_route->m_idempotent && request.m_live.empty() &&
       std::max<size_t>(ends, request.m_lost_sends) >= kEndsWithoutResend;
