--- a/src/proxy/forwarded_fields.cc
+++ b/src/proxy/forwarded_fields.cc
@@ -7,19 +7,24 @@
 
 namespace sorrelplank {
 
+namespace {
+
+const std::set<std::string> kConnectionFields = {"connection",
+                                                 "keep-alive",
+                                                 "proxy-authenticate",
+                                                 "proxy-authorization",
+                                                 "proxy-connection",
+                                                 "te",
+                                                 "trailer",
+                                                 "transfer-encoding",
+                                                 "upgrade",
+                                                 "content-length",
+                                                 "expect"};
+
+}  // namespace
+
 bool IsConnectionField(const std::string& name) {
-  static const std::set<std::string> kNames = {"connection",
-                                               "keep-alive",
-                                               "proxy-authenticate",
-                                               "proxy-authorization",
-                                               "proxy-connection",
-                                               "te",
-                                               "trailer",
-                                               "transfer-encoding",
-                                               "upgrade",
-                                               "content-length",
-                                               "expect"};
-  return kNames.contains(name);
+  return kConnectionFields.contains(name);
 }
 
 bool IsPassedOn(const std::string& name, const ProxyNames& names) {
--- a/src/proxy/request_digest.cc
+++ b/src/proxy/request_digest.cc
@@ -21,12 +21,13 @@
   parts += part;
 }
 
-/// Fields of common tracing formats; each attempt has its own.
+/// Of common tracing formats; each attempt has its own values.
+const std::set<std::string> kTracingFields = {
+    "traceparent",   "tracestate",   "baggage",         "b3",
+    "uber-trace-id", "x-request-id", "x-correlation-id"};
+
 bool IsTracing(const std::string& name) {
-  static const std::set<std::string> kNames = {
-      "traceparent",   "tracestate",   "baggage",         "b3",
-      "uber-trace-id", "x-request-id", "x-correlation-id"};
-  return kNames.contains(name) || name.starts_with("x-b3-");
+  return kTracingFields.contains(name) || name.starts_with("x-b3-");
 }
 
 }  // namespace
