Tell organisations by their keys, and keep to their homes and priorities

What callers saw: on a deployment with organisations any key was served, also one that nobody holds or that had been taken away; the key itself went through to the servers, which were not told whose request they ran; requests of organisations with home regions ran in others.

Cause: the decoder passed over the organisations of the configuration, and nothing behind it knew of keys.

Ruled out: handing the check to the front. A request waits for slots and for the first table, and its key may be taken away meanwhile; so who asks is decided where the route is, by the table in force, and once more for each request that waits when the table changes.

Change: OrganisationIndex finds the organisation of a key. Steering::Route sets it, its homes beside those of the route, and its priority before that of the route. An unknown key is 401; while the VM is cut off from the store 503, since a key that it has not heard of may be valid elsewhere. The front takes the key and the client's own organisation field off, and sets the organisation. What makes two requests the same holds the organisation in place of the key. Faults of organisations refuse the version with field and reason; the key is not told. Deployments without organisations pass Authorization on as before.

Its tests pass; without the change they do not compile, since the fields they set were not there.

--- a/src/proxy/forwarded_fields.cc
+++ b/src/proxy/forwarded_fields.cc
@@ -27,6 +27,10 @@
   return kConnectionFields.contains(name);
 }
 
+bool IsAboutCaller(const std::string& name, const ProxyNames& names) {
+  return name == names.m_credentials || name == names.m_organisation;
+}
+
 bool IsPassedOn(const std::string& name, const ProxyNames& names) {
   const bool is_ours =
       name == names.m_deadline_ms || name == names.m_expected_instance;
--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -9,11 +9,11 @@
 #include <charconv>
 #include <utility>
 
+#include "proxy/caller_key_func.h"
 #include "proxy/decision_log.h"
 #include "proxy/forwarded_fields_func.h"
 #include "proxy/proxy_metrics.h"
 #include "proxy/reply_judge_func.h"
-#include "proxy/request_digest_func.h"
 #include "proxy/server_connection.h"
 #include "serve/clock_func.h"
 
@@ -106,7 +106,10 @@
   facts.m_path = request.m_path;
   facts.m_time_left = ParseTimeLeft(request.Header(m_names.m_deadline_ms));
   facts.m_object = HashOf(request.Header(m_names.m_object).value_or(*id));
-  facts.m_digest = DigestOf(request, m_names);
+  if (const auto credentials = request.Header(m_names.m_credentials)) {
+    facts.m_key = ParseBearerKey(*credentials);
+  }
+  facts.m_digest = DigestOf(request, m_names, CallerOf(facts));
   m_by_connection.emplace(request.m_connection, facts.m_request);
   Open open;
   open.m_id = *id;
@@ -119,6 +122,17 @@
   m_steering.Arrived(std::move(facts), now);
 }
 
+CallerIdentity Front::CallerOf(const RequestFacts& facts) const {
+  const RoutingTable* table = m_steering.Table();
+  // While the table is not known, the key must not get into a digest: digests
+  // are written to logs and to the store.
+  CallerIdentity caller;
+  caller.m_hides_key = table == nullptr || table->m_organisations.has_value();
+  caller.m_organisation =
+      NameOf(m_steering.OrganisationOf(facts.m_key.value_or("")));
+  return caller;
+}
+
 void Front::ClientClosed(uint64_t connection) {
   const auto [first, last] = m_by_connection.equal_range(connection);
   std::vector<RequestId> left;
@@ -157,10 +171,15 @@
   std::string bytes =
       fmt::format("{} {} HTTP/1.1\r\n", request.m_method, request.m_target);
   for (const auto& [name, value] : request.m_headers) {
-    if (IsPassedOn(name, m_names)) {
+    const bool is_hidden = action.m_keeps_key && IsAboutCaller(name, m_names);
+    if (IsPassedOn(name, m_names) && !is_hidden) {
       bytes += fmt::format("{}: {}\r\n", name, value);
     }
   }
+  if (!action.m_organisation.empty()) {
+    bytes += fmt::format("{}: {}\r\n", m_names.m_organisation,
+                         action.m_organisation);
+  }
   bytes += fmt::format("{}: {}\r\n{}: {}\r\n", m_names.m_deadline_ms,
                        std::max<int64_t>(1, LogMs(action.m_time_left)),
                        m_names.m_expected_instance, action.m_instance);
@@ -182,6 +201,7 @@
                {"content", FormatDigest(open.m_digest)},
                {"server", action.m_instance},
                {"region", action.m_region},
+               {"organisation", action.m_organisation},
                {"object", open.m_request.Header(m_names.m_object).value_or("")},
                {"under_way_there", action.m_occupancy},
                {"waited_ms", LogMs(action.m_waited)},
@@ -250,6 +270,7 @@
               {{"request", open.m_id},
                {"reason", row.m_name},
                {"content", FormatDigest(open.m_digest)},
+               {"organisation", action.m_organisation},
                {"ends", static_cast<int64_t>(action.m_ends)},
                {"verdict", VerdictName(row.m_verdict)},
                {"waited_ms", LogMs(action.m_waited)},
@@ -262,6 +283,9 @@
   HttpResponse response;
   response.m_status = row.m_status;
   response.m_headers.emplace_back(m_names.m_request_id, open.m_id);
+  if (row.m_status == 401) {
+    response.m_headers.emplace_back("WWW-Authenticate", "Bearer");
+  }
   if (row.m_status == 503) {
     response.m_headers.emplace_back("Retry-After", retry_after);
   }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -15,6 +15,7 @@
 #include "core/request_digest_type.h"
 #include "net/http_message_type.h"
 #include "proxy/proxy_names_type.h"
+#include "proxy/request_digest_func.h"
 #include "proxy/server_pool.h"
 #include "proxy/server_reply_type.h"
 #include "steer/steering.h"
@@ -79,6 +80,8 @@
   void Run(const HoldEnded& action);
   void Run(const CrashesForgotten& action);
 
+  /// Who asks, by the table in force.
+  CallerIdentity CallerOf(const RequestFacts& facts) const;
   std::string BuildBytes(const Open& open, const SendToServer& action) const;
   void SendEnded(RequestId request, AttemptId attempt, ServerReply reply);
   void Answer(RequestId request, HttpResponse response, const char* outcome);
--- a/src/proxy/proxy_names_type.h
+++ b/src/proxy/proxy_names_type.h
@@ -17,6 +17,10 @@
   std::string m_expected_instance;
   /// The object that the request is about.
   std::string m_object;
+  /// Holds the client's key; it stays with us where organisations have keys.
+  std::string m_credentials;
+  /// Tells the server which organisation asks; set by us only.
+  std::string m_organisation;
   /// Marks an answer of a server's own.
   std::string m_stamp;
   /// Present where the server did not run the request.
--- a/src/proxy/request_digest.cc
+++ b/src/proxy/request_digest.cc
@@ -32,14 +32,19 @@
 
 }  // namespace
 
-RequestDigest DigestOf(const HttpRequest& request, const ProxyNames& names) {
+RequestDigest DigestOf(const HttpRequest& request,
+                       const ProxyNames& names,
+                       const CallerIdentity& caller) {
   std::string parts;
+  AppendPart(caller.m_organisation, parts);
   AppendPart(request.m_method, parts);
   AppendPart(request.m_target, parts);
   for (const auto& [name, value] : request.m_headers) {
-    const bool is_same_each_time =
-        IsPassedOn(name, names) && name != names.m_request_id;
-    if (is_same_each_time && !IsTracing(name)) {
+    const bool is_hidden = caller.m_hides_key && IsAboutCaller(name, names);
+    const bool is_same_each_time = IsPassedOn(name, names) &&
+                                   name != names.m_request_id &&
+                                   !IsTracing(name);
+    if (is_same_each_time && !is_hidden) {
       AppendPart(name, parts);
       AppendPart(value, parts);
     }
--- /dev/null
+++ b/src/steer/organisation_index.cc
@@ -0,0 +1,25 @@
+/// @file organisation_index.cc Look-up by key.
+
+#include "steer/organisation_index.h"
+
+#include "steer/routing_table_type.h"
+
+namespace sorrelplank {
+
+OrganisationIndex::OrganisationIndex(const RoutingTable& table) {
+  if (!table.m_organisations) {
+    return;
+  }
+  for (const Organisation& organisation : *table.m_organisations) {
+    for (const std::string& key : organisation.m_keys) {
+      m_by_key[key] = &organisation;
+    }
+  }
+}
+
+const Organisation* OrganisationIndex::Find(const std::string& key) const {
+  const auto it = m_by_key.find(key);
+  return it == m_by_key.end() ? nullptr : it->second;
+}
+
+}  // namespace sorrelplank
--- a/src/steer/route_rule_type.h
+++ b/src/steer/route_rule_type.h
@@ -36,6 +36,8 @@
   uint32_t m_most_sends = 1;
   /// Backend servers work faster on objects that they handled lately.
   bool m_keeps_objects_together = false;
+  /// Whether requests need no key.
+  bool m_is_public = false;
   /// Regions that may run the requests; empty: all.
   std::vector<std::string> m_home_regions;
   /// Never empty.
--- a/src/steer/routing_table_type.h
+++ b/src/steer/routing_table_type.h
@@ -6,10 +6,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "core/time_type.h"
+#include "steer/organisation_type.h"
 #include "steer/route_rule_type.h"
 
 namespace sorrelplank {
@@ -39,6 +41,8 @@
   std::vector<RouteRule> m_routes;
   std::map<std::string, ServiceRules> m_services;
   ClientLimits m_limits;
+  /// Who may send requests; nothing: requests carry no keys.
+  std::optional<std::vector<Organisation>> m_organisations;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -58,6 +58,7 @@
 
   /// Whether nothing new can be learned of servers at the moment.
   void SetCutOff(bool is_cut_off) { m_is_cut_off = is_cut_off; }
+  bool IsCutOff() const { return m_is_cut_off; }
 
   const std::vector<FleetMember>& Fleet() const { return m_fleet; }
   bool IsEvacuated(const std::string& domain) const;
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -26,6 +26,11 @@
   VmAddress m_address;
   Duration m_time_left{};
   bool m_idempotent = false;
+  /// Who asks, as the server is told; empty on public routes and where there
+  /// are no organisations.
+  std::string m_organisation;
+  /// Whether the client's key ends here.
+  bool m_keeps_key = false;
   /// Idle connections to the server that may be kept behind the answer.
   size_t m_most_kept = 0;
   /// For logs and counts.
@@ -57,6 +62,8 @@
   SteerRefusal m_reason = SteerRefusal::kNotReady;
   Duration m_retry_after{};
   /// What decided, for logs.
+  /// Empty where it is not known or there is none.
+  std::string m_organisation;
   LineState m_line;
   Duration m_waited{};
   uint64_t m_table_version = 0;
--- a/src/steer/steer_refusal_type.h
+++ b/src/steer/steer_refusal_type.h
@@ -22,6 +22,8 @@
   kTimedOut,
   kStopping,
   kHeldBack,
+  kUnknownKey,
+  kTableMayBeOld,
   kCount,
 };
 
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -3,8 +3,10 @@
 #ifndef SORRELPLANK_STEER_STEERED_REQUEST_TYPE_H_
 #define SORRELPLANK_STEER_STEERED_REQUEST_TYPE_H_
 
+#include <compare>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,10 +17,20 @@
 
 namespace sorrelplank {
 
+struct Organisation;
 struct RouteRule;
 struct RoutingTable;
 class ServerTrack;
 
+/// Order in a line; the lesser goes first.
+struct RequestRank {
+  /// The organisation's priority, or else the route's.
+  int m_organisation = 0;
+  int m_route = 0;
+
+  auto operator<=>(const RequestRank&) const = default;
+};
+
 /// What a client asks for.
 struct RequestFacts {
   RequestId m_request;
@@ -31,6 +43,8 @@
   Duration m_time_left{};
   /// The same for each attempt of one caller at the same request.
   RequestDigest m_digest{};
+  /// What the client shows to say who asks.
+  std::optional<std::string> m_key;
 };
 
 /// One send of a request that has not ended.
@@ -43,9 +57,12 @@
 /// A request under way.
 struct SteeredRequest {
   RequestFacts m_facts;
-  /// Keeps the route alive.
+  /// Keeps the route and the organisation alive.
   std::shared_ptr<const RoutingTable> m_table;
   const RouteRule* m_route = nullptr;
+  /// Who asks; nullptr on public routes and where there are no organisations.
+  const Organisation* m_organisation = nullptr;
+  RequestRank m_rank;
   std::string m_service;
   RegionShares::Mask m_allowed_regions = 0;
   TimePoint m_arrived;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -51,22 +51,50 @@
   Invariant(m_own_region < m_regions.size(), "the own region is known");
 }
 
-bool Steering::Route(SteeredRequest& request) {
+std::optional<SteerRefusal> Steering::Route(SteeredRequest& request) {
   const RouteRule* route =
       m_index->Find(request.m_facts.m_host, request.m_facts.m_path);
   if (route == nullptr) {
-    return false;
+    return SteerRefusal::kNoRoute;
   }
   request.m_table = m_table;
   request.m_route = route;
-  request.m_allowed_regions = MaskOf(*route);
-  const auto& shares = route->m_shares;
+  request.m_organisation = nullptr;
+  request.m_allowed_regions = MaskOf(route->m_home_regions);
+  request.m_rank = {route->m_priority, route->m_priority};
+  if (m_table->m_organisations && !route->m_is_public) {
+    if (const auto refusal = Identify(request)) {
+      return refusal;
+    }
+  }
+  ChooseService(request);
+  return std::nullopt;
+}
+
+std::optional<SteerRefusal> Steering::Identify(SteeredRequest& request) const {
+  const Organisation* organisation =
+      OrganisationOf(request.m_facts.m_key.value_or(""));
+  if (organisation == nullptr) {
+    // 401 ends a caller's tries for good. A VM that may have missed the version
+    // that brought the key can only say that it did not run the request.
+    return m_picker.IsCutOff() ? SteerRefusal::kTableMayBeOld
+                               : SteerRefusal::kUnknownKey;
+  }
+  request.m_organisation = organisation;
+  request.m_allowed_regions &= MaskOf(organisation->m_home_regions);
+  request.m_rank.m_organisation =
+      organisation->m_priority.value_or(request.m_rank.m_route);
+  return std::nullopt;
+}
+
+void Steering::ChooseService(SteeredRequest& request) {
+  const auto& shares = request.m_route->m_shares;
   const bool keeps_service =
       std::any_of(shares.begin(), shares.end(), [&](const BackendShare& share) {
         return share.m_service == request.m_service && share.m_weight > 0;
       });
   if (keeps_service) {
-    return true;
+    return;
   }
   std::vector<double> weights;
   weights.reserve(shares.size());
@@ -77,8 +105,8 @@
                   [](double weight) { return weight <= 0; })) {
     std::fill(weights.begin(), weights.end(), 1);
   }
-  request.m_service = shares[m_splits[route->m_name].Next(weights)].m_service;
-  return true;
+  const size_t chosen = m_splits[request.m_route->m_name].Next(weights);
+  request.m_service = shares[chosen].m_service;
 }
 
 void Steering::Arrived(RequestFacts facts, TimePoint now) {
@@ -133,8 +161,8 @@
 }
 
 void Steering::Admit(SteeredRequest& request, TimePoint now) {
-  if (!Route(request)) {
-    Refuse(request, SteerRefusal::kNoRoute, now);
+  if (const auto refusal = Route(request)) {
+    Refuse(request, *refusal, now);
     return;
   }
   const Duration time =
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -16,6 +17,7 @@
 #include "steer/crash_fact_type.h"
 #include "steer/crash_register.h"
 #include "steer/even_dealer.h"
+#include "steer/organisation_index.h"
 #include "steer/route_index.h"
 #include "steer/routing_table_type.h"
 #include "steer/server_change_type.h"
@@ -43,12 +45,16 @@
   void SetEvacuated(const std::set<std::string>& domains, TimePoint now);
   void SetFleet(std::vector<FleetMember> fleet, TimePoint now);
 
-  /// Whether nothing new can be learned of servers at the moment.
+  /// Whether nothing new can be learned of servers and configuration at the
+  /// moment.
   void SetCutOff(bool is_cut_off) { m_picker.SetCutOff(is_cut_off); }
 
   /// Replaces limits; the own place stays.
   void SetLimits(const SteeringSettings& settings);
 
+  /// The organisation that holds the key by the table in force, or nullptr.
+  const Organisation* OrganisationOf(const std::string& key) const;
+
   /// Regions that may take requests of a host: those that are homes of all its
   /// routes with homes; empty: all.
   std::vector<std::string> HomesOf(const std::string& host) const;
@@ -105,7 +111,8 @@
 
   SteeredService& Service(const std::string& name);
   size_t RegionOf(const std::string& failure_domain) const;
-  RegionShares::Mask MaskOf(const RouteRule& route) const;
+  /// The regions named; all where none is.
+  RegionShares::Mask MaskOf(const std::vector<std::string>& homes) const;
   const ServiceRules& RulesOf(const std::string& service) const;
 
   void AddServer(const ServerEntry& entry, size_t region, TimePoint now);
@@ -114,8 +121,12 @@
 
   /// Starts a request on the table in force.
   void Admit(SteeredRequest& request, TimePoint now);
-  /// Sets route and service by the table in force; false without a route.
-  bool Route(SteeredRequest& request);
+  /// Sets route, organisation and service by the table in force; otherwise
+  /// why it forbids the request.
+  std::optional<SteerRefusal> Route(SteeredRequest& request);
+  /// Who asks, by the table in force; otherwise why that can't be told.
+  std::optional<SteerRefusal> Identify(SteeredRequest& request) const;
+  void ChooseService(SteeredRequest& request);
   Choice Choose(const SteeredRequest& request, TimePoint now);
   /// Servers of the request's region, and what it needs of them.
   const std::vector<ServerTrack*>* Candidates(const SteeredRequest& request,
@@ -178,6 +189,7 @@
   ServerPicker m_picker;
   std::shared_ptr<const RoutingTable> m_table;
   std::unique_ptr<RouteIndex> m_index;
+  std::unique_ptr<OrganisationIndex> m_organisations;
   std::map<std::string, EvenDealer> m_splits;
   std::map<std::string, std::unique_ptr<SteeredService>> m_services;
   std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -25,7 +25,8 @@
   refusal.m_table_version = m_table ? m_table->m_version : 0;
   refusal.m_sends = static_cast<uint32_t>(request.m_tried.size());
   refusal.m_ends = m_crashes.Ends(request.m_facts.m_digest, now);
-  if (request.m_route != nullptr) {
+  refusal.m_organisation = NameOf(request.m_organisation);
+  if (!request.m_service.empty()) {
     SteeredService& service = Service(request.m_service);
     refusal.m_line = service.Line(Choose(request, now).m_first, now);
     refusal.m_retry_after =
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -14,8 +14,9 @@
             "an older table never replaces a newer one");
   m_table = std::move(table);
   m_index = std::make_unique<RouteIndex>(*m_table);
+  m_organisations = std::make_unique<OrganisationIndex>(*m_table);
   // A waiting request is handled by the newest table, like one that arrives
-  // now; it may have lost its route or gone to another service.
+  // now; it may have lost its route or key, or gone to another service.
   std::vector<RequestId> waiting;
   for (const auto& [id, request] : m_requests) {
     if (request.m_waits) {
@@ -25,16 +26,19 @@
   for (const RequestId id : waiting) {
     SteeredRequest& request = m_requests.at(id);
     const std::string service = request.m_service;
-    const bool has_route = Route(request);
-    if (has_route && request.m_service == service) {
+    const RegionShares::Mask regions = request.m_allowed_regions;
+    const auto refusal = Route(request);
+    const bool keeps_its_place = !refusal && request.m_service == service &&
+                                 request.m_allowed_regions == regions;
+    if (keeps_its_place) {
       continue;
     }
     Service(service).Waiting().remove(id);
     StopWaiting(request);
-    if (has_route) {
-      Place(request, now);
+    if (refusal) {
+      Refuse(request, *refusal, now);
     } else {
-      Refuse(request, SteerRefusal::kNoRoute, now);
+      Place(request, now);
     }
   }
 }
@@ -146,7 +150,7 @@
   if (m_table) {
     for (const RouteRule& route : m_table->m_routes) {
       if (route.m_host == host) {
-        mask &= MaskOf(route);
+        mask &= MaskOf(route.m_home_regions);
       }
     }
   }
@@ -185,13 +189,17 @@
   return static_cast<size_t>(region - m_regions.begin());
 }
 
-RegionShares::Mask Steering::MaskOf(const RouteRule& route) const {
-  if (route.m_home_regions.empty()) {
+const Organisation* Steering::OrganisationOf(const std::string& key) const {
+  return m_organisations ? m_organisations->Find(key) : nullptr;
+}
+
+RegionShares::Mask Steering::MaskOf(
+    const std::vector<std::string>& homes) const {
+  if (homes.empty()) {
     return ~RegionShares::Mask{0};
   }
   RegionShares::Mask mask = 0;
   for (size_t region = 0; region < m_regions.size(); ++region) {
-    const auto& homes = route.m_home_regions;
     if (std::find(homes.begin(), homes.end(), m_regions[region]) !=
         homes.end()) {
       mask |= RegionShares::Mask{1} << region;
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -65,7 +65,7 @@
   request.m_waits_for = m_servers.at(server->Entry().m_instance);
   request.m_waits_for->AddWaiting();
   const auto later = std::find_if(line.begin(), line.end(), [&](RequestId id) {
-    return m_requests.at(id).m_route->m_priority > request.m_route->m_priority;
+    return m_requests.at(id).m_rank > request.m_rank;
   });
   line.insert(later, request.m_facts.m_request);
 }
@@ -145,11 +145,21 @@
   ++request.m_arrivals;
   const size_t most_kept = MostKeptConnections(
       RulesOf(entry.m_service).m_most_connections, m_picker.Fleet().size());
-  m_sink(SendToServer{
-      request.m_facts.m_request, attempt, entry.m_instance, entry.m_address,
-      request.m_finish_by - now, request.m_route->m_idempotent, most_kept,
-      request.m_service, m_regions[server->Region()], server->Occupancy(now),
-      now - request.m_arrived, request.m_table->m_version});
+  m_sink(
+      SendToServer{.m_request = request.m_facts.m_request,
+                   .m_attempt = attempt,
+                   .m_instance = entry.m_instance,
+                   .m_address = entry.m_address,
+                   .m_time_left = request.m_finish_by - now,
+                   .m_idempotent = request.m_route->m_idempotent,
+                   .m_organisation = NameOf(request.m_organisation),
+                   .m_keeps_key = request.m_table->m_organisations.has_value(),
+                   .m_most_kept = most_kept,
+                   .m_service = request.m_service,
+                   .m_region = m_regions[server->Region()],
+                   .m_occupancy = server->Occupancy(now),
+                   .m_waited = now - request.m_arrived,
+                   .m_table_version = request.m_table->m_version});
 }
 
 void Steering::Ended(RequestId id,
--- a/src/table/steer_refusal_table.h
+++ b/src/table/steer_refusal_table.h
@@ -23,6 +23,9 @@
         {SteerRefusal::kTimedOut, 504, "timed_out", Verdict::kMayHaveRun},
         {SteerRefusal::kStopping, 503, "stopping", Verdict::kNotRun},
         {SteerRefusal::kHeldBack, 503, "held_back", Verdict::kNotRun},
+        {SteerRefusal::kUnknownKey, 401, "unknown_key", Verdict::kNotRun},
+        {SteerRefusal::kTableMayBeOld, 503, "table_may_be_old",
+         Verdict::kNotRun},
     }};
 
 }  // namespace sorrelplank
--- a/tests/front_test.cc
+++ b/tests/front_test.cc
@@ -23,6 +23,8 @@
           .m_deadline_ms = "deadline",
           .m_expected_instance = "expect-instance",
           .m_object = "object",
+          .m_credentials = "authorization",
+          .m_organisation = "organisation",
           .m_stamp = "stamp",
           .m_not_run = "not-run",
           .m_load = "load",
@@ -46,6 +48,7 @@
   std::unique_ptr<DecisionLog> m_log;
   ProxyMetrics m_metrics{"vm-1"};
   std::unique_ptr<Front> m_front;
+  std::shared_ptr<const RoutingTable> m_table;
   tcp::acceptor m_acceptor{m_io,
                            tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
   tcp::socket m_peer{m_io};
@@ -75,6 +78,7 @@
     table->m_limits.m_body_bytes = 100;
     table->m_limits.m_header_bytes = 1000;
     const TimePoint now;
+    m_table = table;
     m_front->Decisions().Install(table, now);
     m_front->Decisions().PutServer({"i-1",
                                     "s",
@@ -114,6 +118,17 @@
                            });
   }
 
+  /// From now on requests need the key "secret".
+  void InstallOrganisation() {
+    auto table = std::make_shared<RoutingTable>(*m_table);
+    ++table->m_version;
+    table->m_organisations = {{.m_name = "acme",
+                               .m_keys = {"secret"},
+                               .m_priority = std::nullopt,
+                               .m_home_regions = {}}};
+    m_front->Decisions().Install(table, TimePoint());
+  }
+
   static HttpRequest Request() {
     HttpRequest request;
     request.m_method = "POST";
@@ -187,6 +202,42 @@
   cr_assert(has_stamp);
 }
 
+// Organisations have keys. The key must not reach a server, and what a client
+// says of its organisation must not either.
+Test(Front, RequestWithKey_Forwarded_NamesOrganisationAndHidesKey) {
+  g_fixture->m_answer =
+      "HTTP/1.1 200 X\r\nid: r1\r\nstamp: s\r\ncontent-length: 0\r\n\r\n";
+  g_fixture->InstallOrganisation();
+  HttpRequest request = FrontFixture::Request();
+  request.m_headers["authorization"] = "Bearer secret";
+  request.m_headers["organisation"] = "forged";
+  request.m_headers["connection"] = "organisation";
+  g_fixture->Accept(std::move(request));
+  g_fixture->RunUntil([] { return g_fixture->m_reply.has_value(); });
+  cr_assert(g_fixture->Received("organisation: acme\r\n"));
+  cr_assert_not(g_fixture->Received("secret"));
+  cr_assert_not(g_fixture->Received("forged"));
+}
+
+Test(Front, NoOrganisations_Forwarded_KeepsCredentials) {
+  g_fixture->m_answer =
+      "HTTP/1.1 200 X\r\nid: r1\r\nstamp: s\r\ncontent-length: 0\r\n\r\n";
+  HttpRequest request = FrontFixture::Request();
+  request.m_headers["authorization"] = "Basic mine";
+  g_fixture->Accept(std::move(request));
+  g_fixture->RunUntil([] { return g_fixture->m_reply.has_value(); });
+  cr_assert(g_fixture->Received("authorization: Basic mine\r\n"));
+}
+
+Test(Front, UnknownKey_Answer_Is401WithTheScheme) {
+  g_fixture->InstallOrganisation();
+  g_fixture->Accept(FrontFixture::Request());
+  cr_assert_eq(g_fixture->m_reply->m_status, 401);
+  const auto* scheme =
+      FindField(g_fixture->m_reply->m_headers, "WWW-Authenticate");
+  cr_assert_not_null(scheme);
+}
+
 // The client gives up and closes its connection. The server must learn of it,
 // or it works on for nobody.
 Test(Front, Client_Leaves_ServersConnectionIsClosed) {
--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -11,6 +11,8 @@
 namespace sorrelplank::platform {
 namespace {
 
+using nlohmann::json;
+
 TestSuite(PlatformDecode);
 
 constexpr const char* kConfig = R"({"Version":"r7",
@@ -216,5 +218,75 @@
   cr_assert_eq(DecodeRead(result, "events").m_end, StoreEnd::kUnknown);
 }
 
+// Organisations with keys. Read wrongly, a caller would pass for another one,
+// or ask beyond its limit.
+Test(PlatformDecode, Config_Organisations_AreRead) {
+  json config = json::parse(kConfig);
+  config["Tenants"] = json::parse(R"({"Columns":["Name","ApiKeys","Priority",
+      "RatePerS","Burst","HomeRegions"],
+    "Rows":[["acme",["k1","k2"],0,40,50,["north"]],
+            ["byte",["k3"],null,null,null,null]]})");
+  const RoutingTable table = DecodeConfig(config.dump());
+  cr_assert(table.m_organisations.has_value());
+  cr_assert_eq(table.m_organisations->size(), 2);
+  const Organisation& first = table.m_organisations->at(0);
+  cr_assert_str_eq(first.m_name.c_str(), "acme");
+  cr_assert_str_eq(first.m_keys.at(1).c_str(), "k2");
+  cr_assert_eq(first.m_priority, 0);
+  cr_assert_float_eq(first.m_rate_per_second, 40, 1e-9);
+  cr_assert_float_eq(first.m_burst, 50, 1e-9);
+  cr_assert_str_eq(first.m_home_regions.at(0).c_str(), "north");
+  const Organisation& second = table.m_organisations->at(1);
+  cr_assert_not(second.m_priority.has_value());
+  cr_assert_float_eq(second.m_rate_per_second, 0, 1e-9);
+  cr_assert(second.m_home_regions.empty());
+}
+
+Test(PlatformDecode, Config_WithoutOrganisations_AsksForNoKeys) {
+  cr_assert_not(DecodeConfig(kConfig).m_organisations.has_value());
+}
+
+// Two organisations with one key: whose request is it?
+Test(PlatformDecode, Config_FaultyOrganisations_AreRefusedWithTheField) {
+  const std::pair<const char*, const char*> faults[] = {
+      {R"(["a",["k"],1],["b",["k"],1])", "ApiKeys"},
+      {R"(["a",["k"],1],["a",["l"],1])", "Name"},
+      {R"(["a",[""],1])", "ApiKeys"},
+      {R"(["",["k"],1])", "Name"},
+      {R"(["a",["k"],-1])", "RatePerS"},
+      {R"(["a",["k"],"5"])", "RatePerS"}};
+  for (const auto& [rows, field] : faults) {
+    json config = json::parse(kConfig);
+    config["Tenants"] =
+        json::parse(R"({"Columns":["Name","ApiKeys","RatePerS"],"Rows":[)" +
+                    std::string(rows) + "]}");
+    std::string problem;
+    try {
+      DecodeConfig(config.dump());
+    } catch (const DecodeError& error) {
+      problem = error.what();
+    }
+    cr_assert(problem.find(field) != std::string::npos, "%s", rows);
+    cr_assert(problem.find("\"k\"") == std::string::npos, "%s", rows);
+  }
+}
+
+Test(PlatformDecode, Config_OrganisationWithUnknownHome_IsRefused) {
+  RoutingTable table;
+  table.m_organisations.emplace();
+  table.m_organisations->push_back({.m_name = "acme",
+                                    .m_keys = {},
+                                    .m_priority = std::nullopt,
+                                    .m_home_regions = {"south"}});
+  RequireKnownHomes(table, {{"d1", "south"}});
+  bool is_refused = false;
+  try {
+    RequireKnownHomes(table, {{"d1", "north"}});
+  } catch (const DecodeError&) {
+    is_refused = true;
+  }
+  cr_assert(is_refused);
+}
+
 }  // namespace
 }  // namespace sorrelplank::platform
--- a/tests/request_digest_test.cc
+++ b/tests/request_digest_test.cc
@@ -90,5 +90,25 @@
   cr_assert_not(ParseDigest(std::string(32, 'g')).has_value());
 }
 
+// An organisation has two keys, and its request that ends servers comes with
+// either. Taken for two requests, it would end twice as many.
+Test(RequestDigest, OtherKeyOfTheOrganisation_Digest_IsTheSame) {
+  const CallerIdentity acme{.m_organisation = "acme", .m_hides_key = true};
+  ProxyNames names = MakeNames();
+  names.m_credentials = "authorization";
+  HttpRequest request = MakeRequest();
+  request.m_headers["authorization"] = "b";
+  cr_assert_eq(DigestOf(request, names, acme),
+               DigestOf(MakeRequest(), names, acme));
+}
+
+// Two organisations ask the same. One must not hold back the other.
+Test(RequestDigest, OtherOrganisation_Digest_Differs) {
+  const CallerIdentity acme{.m_organisation = "acme", .m_hides_key = true};
+  const CallerIdentity byte{.m_organisation = "byte", .m_hides_key = true};
+  cr_assert_neq(DigestOf(MakeRequest(), MakeNames(), acme),
+                DigestOf(MakeRequest(), MakeNames(), byte));
+}
+
 }  // namespace
 }  // namespace sorrelplank
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +40,14 @@
           .m_shares = {{"s", 1}}};
 }
 
+inline Organisation MakeOrganisation(const std::string& name,
+                                     const std::string& key) {
+  return {.m_name = name,
+          .m_keys = {key},
+          .m_priority = std::nullopt,
+          .m_home_regions = {}};
+}
+
 /// Two servers with two slots each in the own region, one route of each kind.
 struct SteeringFixture {
   TimePoint m_now{seconds(100)};
@@ -57,9 +66,13 @@
     Pass(seconds(3));
   }
 
-  void Install(uint64_t version, std::vector<RouteRule> routes) {
+  void Install(
+      uint64_t version,
+      std::vector<RouteRule> routes,
+      std::optional<std::vector<Organisation>> organisations = std::nullopt) {
     auto table = std::make_shared<RoutingTable>();
     table->m_version = version;
+    table->m_organisations = std::move(organisations);
     table->m_routes = std::move(routes);
     table->m_services["s"] = {.m_name = "s",
                               .m_most_connections = 100,
@@ -89,6 +102,15 @@
     return id;
   }
 
+  /// A request that shows a key.
+  RequestId ArriveWithKey(const std::string& path,
+                          const std::string& key,
+                          uint64_t object = 1) {
+    const RequestId id(m_next++);
+    m_steering.Arrived({id, "h", path, object, seconds(5), {}, key}, m_now);
+    return id;
+  }
+
   /// The same request as all with this digest.
   RequestId ArriveAgain(const std::string& path, const RequestDigest& digest) {
     const RequestId id(m_next++);
