Add a failing test: a download may run again

What callers see: a download whose server loses it ends in 502, though the pages of the deployment with downloads say that these are idempotent.

Seen: Config_DownloadRoute_MayRunAgain fails.

--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -288,5 +288,13 @@
   cr_assert(is_refused);
 }
 
+// Downloads may run again, as the pages say of them; taken for requests that
+// run once, one lost answer ended each.
+Test(PlatformDecode, Config_DownloadRoute_MayRunAgain) {
+  json config = json::parse(kConfig);
+  config["Routes"]["Rows"][0][3] = "download";
+  cr_assert(DecodeConfig(config.dump()).m_routes[0].m_idempotent);
+}
+
 }  // namespace
 }  // namespace sorrelplank::platform
