Share the datagram socket, and count what could not be read

What operators saw: the gauge of malformed datagrams was 0 whatever arrived.

Cause: the exchange of loads left out such datagrams without counting them.

Change: DatagramSocket opens, sends, receives and counts; what takes a datagram says whether it could be read.

--- a/src/proxy/load_exchange.cc
+++ b/src/proxy/load_exchange.cc
@@ -23,10 +23,6 @@
 /// Loads in one datagram, which then fits a usual packet of 1,500 bytes.
 constexpr size_t kMostLoads = 120;
 
-asio::ip::udp::endpoint Endpoint(VmAddress address) {
-  return {asio::ip::address_v4(address.m_ip), address.m_port};
-}
-
 }  // namespace
 
 std::string EncodeLoads(const std::vector<ServerLoad>& loads) {
@@ -65,10 +61,10 @@
 LoadExchange::LoadExchange(asio::io_context& io,
                            VmAddress own,
                            LoadsHandler handler)
-    : m_socket(io, Endpoint(own)), m_handler(std::move(handler)) {
-  m_socket.non_blocking(true);
-  Receive();
-}
+    : m_handler(std::move(handler)),
+      m_socket(io, own, [this](const char* bytes, size_t length, VmAddress) {
+        return Take(bytes, length);
+      }) {}
 
 bool LoadExchange::IsDue(TimePoint now) const {
   const auto at_the_bound =
@@ -86,30 +82,18 @@
   const std::string bytes = EncodeLoads(loads);
   const size_t count = std::min(m_peers.size(), kMostLoadPeers);
   for (size_t sent = 0; sent < count; ++sent) {
-    const VmAddress peer = m_peers[m_next_peer++ % m_peers.size()];
-    std::error_code error;
-    m_socket.send_to(asio::buffer(bytes), Endpoint(peer), 0, error);
-    // Counted only: the next datagram tells something newer.
-    m_unsent += error ? 1 : 0;
+    // What is not sent is not missed: the next datagram tells something newer.
+    m_socket.Send(bytes, m_peers[m_next_peer++ % m_peers.size()]);
   }
 }
 
-void LoadExchange::Receive() {
-  m_socket.async_receive_from(asio::buffer(m_buffer), m_sender,
-                              [this](std::error_code error, size_t bytes) {
-                                if (error == asio::error::operation_aborted) {
-                                  return;
-                                }
-                                if (!error) {
-                                  ++m_received;
-                                  const auto loads =
-                                      DecodeLoads(m_buffer.data(), bytes);
-                                  if (!loads.empty()) {
-                                    m_handler(loads);
-                                  }
-                                }
-                                Receive();
-                              });
+bool LoadExchange::Take(const char* bytes, size_t length) {
+  const auto loads = DecodeLoads(bytes, length);
+  if (loads.empty()) {
+    return false;
+  }
+  m_handler(loads);
+  return true;
 }
 
 }  // namespace sorrelplank
--- a/src/proxy/load_exchange.h
+++ b/src/proxy/load_exchange.h
@@ -3,15 +3,14 @@
 #ifndef SORRELPLANK_PROXY_LOAD_EXCHANGE_H_
 #define SORRELPLANK_PROXY_LOAD_EXCHANGE_H_
 
-#include <array>
-#include <asio.hpp>
-#include <cstdint>
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <vector>
 
 #include "core/time_type.h"
 #include "core/vm_record_type.h"
+#include "proxy/datagram_socket.h"
 #include "steer/server_load_type.h"
 
 namespace sorrelplank {
@@ -43,24 +42,16 @@
   bool IsDue(TimePoint now) const;
   void Tell(const std::vector<ServerLoad>& loads, TimePoint now);
 
-  /// Counts of datagrams, for metrics.
-  uint64_t Received() const { return m_received; }
-  uint64_t Malformed() const { return m_malformed; }
-  uint64_t Unsent() const { return m_unsent; }
+  const DatagramSocket& Socket() const { return m_socket; }
 
  private:
-  void Receive();
+  bool Take(const char* bytes, size_t length);
 
-  asio::ip::udp::socket m_socket;
   LoadsHandler m_handler;
   std::vector<VmAddress> m_peers;
   size_t m_next_peer = 0;
   TimePoint m_told{};
-  uint64_t m_received = 0;
-  uint64_t m_malformed = 0;
-  uint64_t m_unsent = 0;
-  asio::ip::udp::endpoint m_sender;
-  std::array<char, 2048> m_buffer{};
+  DatagramSocket m_socket;
 };
 
 }  // namespace sorrelplank
