Hold organisations to their limits over all entry VMs

Cause: nothing counted what organisations send, over all VMs or at one.

With one keeper two thirds of the questions cross regions, and its loss stops an organisation everywhere.

Change: QuotaGate takes a token for each request of an organisation with a limit. It asks the keeper of its own region by datagram, with tokens ahead for the next 250 ms, then those of the other regions. QuotaKeeper grants out of a bucket with a third of the limit (QuotaPart: parts of all keepers, with what VMs out of reach use, stay within the tolerance of the settings). The keeper of a region is found by highest random weight; a VM that does not take itself for it grants nothing, one that the store has not answered for longer than its entry lives grants a third. 429 with the time after which there are tokens for those refused; refused at once while that is known. A token of a request that did not run is given back.

Why it holds: parts sum to the whole under any agreed fleet; what disagreement, restarts and cut-off VMs add is a stated part of the tolerance.

--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -10,6 +10,7 @@
 #include "bench/decision_bench.h"
 #include "bench/path_bench.h"
 #include "bench/policy_bench.h"
+#include "bench/quota_bench.h"
 #include "bench/spread_bench.h"
 #include "bench/steering_bench.h"
 
@@ -34,6 +35,9 @@
   if (all || group == "steering") {
     BenchSteering();
   }
+  if (all || group == "quotas") {
+    BenchQuotas();
+  }
   if (all || group == "path") {
     BenchPath(binaries, "examples");
   }
--- a/scripts/generate_proto.sh
+++ b/scripts/generate_proto.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../src/proto"
 protoc --cpp_out=. --grpc_out=. --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" peer.proto
-protoc --cpp_out=. loads.proto feed.proto
+protoc --cpp_out=. loads.proto feed.proto quota.proto
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -32,6 +32,7 @@
 constexpr uint16_t kMetricsPort = 8083;
 constexpr uint16_t kExchangePort = 8084;
 constexpr uint16_t kFeedPort = 8085;
+constexpr uint16_t kQuotaPort = 8086;
 constexpr uint16_t kServerPort = 8090;
 /// Bounds that the entry VMs are told, in seconds.
 constexpr double kConfigApplyS = 2.5;
@@ -150,6 +151,7 @@
       {"metrics_address", AddressText(vm.m_ip, kMetricsPort)},
       {"exchange_address", AddressText(vm.m_ip, kExchangePort)},
       {"feed_address", AddressText(vm.m_ip, kFeedPort)},
+      {"quota_address", AddressText(vm.m_ip, kQuotaPort)},
       {"store_address", AddressText(vm.m_ip, kStoreProxyPort)},
       {"shortest_lease_s", 1},
       {"longest_ttl_s", 5},
--- a/src/proxy/edge_settings.cc
+++ b/src/proxy/edge_settings.cc
@@ -20,6 +20,8 @@
         m_path(std::move(path)),
         m_faults(faults) {}
 
+  bool Has(const char* key) const { return Find(key) != nullptr; }
+
   std::string Text(const char* key) const {
     const json* value = Find(key);
     if (value == nullptr || !value->is_string() ||
@@ -101,6 +103,17 @@
 constexpr double kMostSeconds = 600;
 constexpr double kMostCount = 1e6;
 
+/// Left out where a deployment has no quotas.
+QuotaBounds ReadQuotas(const Reader& reader) {
+  QuotaBounds bounds;
+  if (reader.Has("quota_window_s")) {
+    bounds.m_window = reader.Seconds("quota_window_s", kMostSeconds);
+    bounds.m_excess = reader.Number("quota_excess", 0, kMostCount);
+    bounds.m_slack = reader.Number("quota_slack", 0, kMostCount);
+  }
+  return bounds;
+}
+
 SteeringSettings ReadSteering(const Reader& reader) {
   return SteeringSettings{
       .m_vm = reader.Text("vm"),
@@ -113,6 +126,7 @@
       .m_cold_factor = reader.Number("cold_factor", 0, kMostCount),
       .m_cold_slack = reader.Number("cold_slack", 0, kMostCount),
       .m_most_shift = reader.Number("most_shift", 0, 1),
+      .m_quotas = ReadQuotas(reader),
   };
 }
 
@@ -137,6 +151,7 @@
       .m_metrics_address = reader.Address("metrics_address"),
       .m_exchange_address = reader.Address("exchange_address"),
       .m_feed_address = reader.Address("feed_address"),
+      .m_quota_address = reader.Address("quota_address"),
       .m_store_address = reader.Address("store_address"),
       .m_shortest_lease = reader.Seconds("shortest_lease_s", kMostSeconds),
       .m_longest_ttl = reader.Seconds("longest_ttl_s", kMostSeconds),
--- a/src/proxy/edge_settings_type.h
+++ b/src/proxy/edge_settings_type.h
@@ -29,6 +29,9 @@
   /// Where entry VMs ask each other for changes of the store; the port is the
   /// same at all of them.
   VmAddress m_feed_address;
+  /// Where entry VMs ask each other for tokens of quotas, by datagram; the port
+  /// is the same at all of them.
+  VmAddress m_quota_address;
   /// The platform's store.
   VmAddress m_store_address;
   /// Shortest lifetime of a lease that the store grants.
--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -286,7 +286,7 @@
   if (row.m_status == 401) {
     response.m_headers.emplace_back("WWW-Authenticate", "Bearer");
   }
-  if (row.m_status == 503) {
+  if (row.m_status == 503 || row.m_status == 429) {
     response.m_headers.emplace_back("Retry-After", retry_after);
   }
   // The next request of this client is better sent to another VM.
@@ -322,6 +322,10 @@
   });
 }
 
+void Front::Run(const AskForTokens& action) {
+  m_ask_for_tokens(action.m_question);
+}
+
 void Front::Run(const RequestSuspected& action) {
   const CrashReport& report = action.m_report;
   m_log.Write("request_suspected",
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -41,6 +41,10 @@
   using CrashTeller = std::function<void(const CrashNews&)>;
   void SetCrashTeller(CrashTeller teller) { m_tell_crash = std::move(teller); }
 
+  /// Takes questions to keepers of quotas; to be sent to them.
+  using QuotaAsker = std::function<void(const QuotaQuestion&)>;
+  void SetQuotaAsker(QuotaAsker asker) { m_ask_for_tokens = std::move(asker); }
+
   /// A client's request.
   void Accept(HttpRequest request, HttpReply reply);
   /// The client closed its connection: all its requests are given up.
@@ -79,6 +83,7 @@
   void Run(const RequestHeld& action);
   void Run(const HoldEnded& action);
   void Run(const CrashesForgotten& action);
+  void Run(const AskForTokens& action);
 
   /// Who asks, by the table in force.
   CallerIdentity CallerOf(const RequestFacts& facts) const;
@@ -93,6 +98,7 @@
   ServerPool m_pool;
   Steering m_steering;
   CrashTeller m_tell_crash = [](const CrashNews&) {};
+  QuotaAsker m_ask_for_tokens = [](const QuotaQuestion&) {};
   uint64_t m_next_request = 1;
   bool m_is_stopping = false;
   std::unordered_map<RequestId, Open> m_open;
--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -49,7 +49,13 @@
                           .Labels(m_labels)
                           .Register(m_registry)) {}
 
-  void Set(const char* name, double value) {
+  void Set(const std::string& name, const ProxyGauges::Datagrams& datagrams) {
+    Set(name, datagrams.m_received);
+    Set(name + "_malformed", datagrams.m_malformed);
+    Set(name + "_unsent", datagrams.m_unsent);
+  }
+
+  void Set(const std::string& name, double value) {
     m_gauges.Add({{"name", name}}).Set(value);
   }
 
@@ -98,9 +104,10 @@
   m_impl->Set("suspected_requests", gauges.m_suspected_requests);
   m_impl->Set("held_requests", gauges.m_held_requests);
   m_impl->Set("crash_notes_waiting", gauges.m_crash_notes_waiting);
+  m_impl->Set("awaiting_tokens", gauges.m_awaiting_tokens);
+  m_impl->Set("quotas_kept", gauges.m_quotas_kept);
   m_impl->Set("load_messages", gauges.m_load_messages);
-  m_impl->Set("load_messages_malformed", gauges.m_load_messages_malformed);
-  m_impl->Set("load_messages_unsent", gauges.m_load_messages_unsent);
+  m_impl->Set("quota_messages", gauges.m_quota_messages);
   return prom::TextSerializer().Serialize(m_impl->m_registry.Collect());
 }
 
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -13,6 +13,13 @@
 
 /// Gauges that are read when the metrics are asked for.
 struct ProxyGauges {
+  /// Datagrams from and to other VMs.
+  struct Datagrams {
+    double m_received = 0;
+    double m_malformed = 0;
+    double m_unsent = 0;
+  };
+
   double m_running = 0;
   double m_waiting = 0;
   double m_servers = 0;
@@ -31,10 +38,12 @@
   double m_suspected_requests = 0;
   double m_held_requests = 0;
   double m_crash_notes_waiting = 0;
-  /// Datagrams of loads from and to other VMs.
-  double m_load_messages = 0;
-  double m_load_messages_malformed = 0;
-  double m_load_messages_unsent = 0;
+  /// Requests held for a token of their organisation's quota, and
+  /// organisations whose quota this VM keeps.
+  double m_awaiting_tokens = 0;
+  double m_quotas_kept = 0;
+  Datagrams m_load_messages;
+  Datagrams m_quota_messages;
 };
 
 /// What is counted, by prometheus-cpp.
--- /dev/null
+++ b/src/proxy/quota_exchange.cc
@@ -0,0 +1,112 @@
+/// @file quota_exchange.cc Datagrams of quotas.
+
+#include "proxy/quota_exchange.h"
+
+#include <utility>
+
+#include "config/field_check.h"
+#include "proto/quota.pb.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Tokens in one question; a larger number was not written by an entry VM.
+constexpr uint32_t kMostTokens = 100'000;
+
+void Fill(const QuotaAsk& ask, proto::QuotaMessage& message) {
+  proto::QuotaQuestion& question = *message.mutable_question();
+  question.set_organisation(ask.m_organisation.Get());
+  question.set_number(ask.m_number);
+  question.set_tokens(ask.m_tokens);
+}
+
+void Fill(const QuotaGrant& grant, proto::QuotaMessage& message) {
+  proto::QuotaAnswer& answer = *message.mutable_answer();
+  answer.set_organisation(grant.m_organisation.Get());
+  answer.set_number(grant.m_number);
+  answer.set_tokens(grant.m_tokens);
+  answer.set_is_keeper(grant.m_is_keeper);
+  answer.set_wait_ms(static_cast<uint32_t>(grant.m_wait / milliseconds(1)));
+}
+
+}  // namespace
+
+std::string EncodeQuotaMessage(const QuotaMessage& message) {
+  proto::QuotaMessage encoded;
+  std::visit([&encoded](const auto& content) { Fill(content, encoded); },
+             message);
+  return encoded.SerializeAsString();
+}
+
+std::optional<QuotaMessage> DecodeQuotaMessage(const char* bytes,
+                                               size_t length) {
+  proto::QuotaMessage message;
+  if (!message.ParseFromArray(bytes, static_cast<int>(length))) {
+    return std::nullopt;
+  }
+  if (message.has_question()) {
+    const proto::QuotaQuestion& question = message.question();
+    if (question.tokens() > kMostTokens) {
+      return std::nullopt;
+    }
+    return QuotaAsk{.m_organisation = OrganisationHash(question.organisation()),
+                    .m_number = question.number(),
+                    .m_tokens = question.tokens()};
+  }
+  const proto::QuotaAnswer& answer = message.answer();
+  if (!message.has_answer() || answer.tokens() > kMostTokens) {
+    return std::nullopt;
+  }
+  return QuotaGrant{.m_organisation = OrganisationHash(answer.organisation()),
+                    .m_number = answer.number(),
+                    .m_tokens = answer.tokens(),
+                    .m_is_keeper = answer.is_keeper(),
+                    .m_wait = milliseconds(answer.wait_ms())};
+}
+
+QuotaExchange::QuotaExchange(asio::io_context& io,
+                             VmAddress own,
+                             Answerer answerer,
+                             GrantHandler handler)
+    : m_own(own),
+      m_answerer(std::move(answerer)),
+      m_handler(std::move(handler)),
+      m_socket(io,
+               own,
+               [this](const char* bytes, size_t length, VmAddress sender) {
+                 return Take(bytes, length, sender);
+               }) {}
+
+void QuotaExchange::SetFleet(const std::vector<FleetMember>& fleet) {
+  m_addresses.clear();
+  for (const FleetMember& member : fleet) {
+    VmAddress address;
+    if (ParseAddress(member.m_client_address, address.m_ip, address.m_port)) {
+      address.m_port = m_own.m_port;
+      m_addresses[member.m_vm] = address;
+    }
+  }
+}
+
+void QuotaExchange::Ask(const QuotaQuestion& question) {
+  const auto address = m_addresses.find(question.m_keeper);
+  if (address != m_addresses.end()) {
+    m_socket.Send(EncodeQuotaMessage(question.m_ask), address->second);
+  }
+}
+
+bool QuotaExchange::Take(const char* bytes, size_t length, VmAddress sender) {
+  const auto message = DecodeQuotaMessage(bytes, length);
+  if (!message) {
+    return false;
+  }
+  if (const auto* ask = std::get_if<QuotaAsk>(&*message)) {
+    m_socket.Send(EncodeQuotaMessage(m_answerer(*ask)), sender);
+  } else {
+    m_handler(std::get<QuotaGrant>(*message));
+  }
+  return true;
+}
+
+}  // namespace sorrelplank
--- a/src/steer/admission.cc
+++ b/src/steer/admission.cc
@@ -39,12 +39,15 @@
   return wait <= std::max(spare, late_spare);
 }
 
-Duration ComeBackAfter(const LineState& line, uint64_t spread) {
-  const Duration wait = ExpectedWait(line);
-  // 0.75 to 1.25 of the wait, in steps of a 64th.
+Duration Spread(Duration time, uint64_t spread) {
+  // 0.75 to 1.25 of the time, in steps of a 64th.
   const double factor = 0.75 + static_cast<double>(spread % 33) / 64;
-  const auto spread_wait = std::chrono::duration_cast<Duration>(wait * factor);
-  return std::clamp<Duration>(spread_wait, kSoonest, kLatest);
+  return std::chrono::duration_cast<Duration>(time * factor);
+}
+
+Duration ComeBackAfter(const LineState& line, uint64_t spread) {
+  return std::clamp<Duration>(Spread(ExpectedWait(line), spread), kSoonest,
+                              kLatest);
 }
 
 }  // namespace sorrelplank
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -43,6 +43,10 @@
 /// together.
 Duration ComeBackAfter(const LineState& line, uint64_t spread);
 
+/// The time made longer or shorter by up to a quarter, by the request's own
+/// number.
+Duration Spread(Duration time, uint64_t spread);
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_STEER_ADMISSION_H_
--- a/src/steer/organisation_index.h
+++ b/src/steer/organisation_index.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/ids_type.h"
+
 namespace sorrelplank {
 
 struct Organisation;
@@ -19,9 +21,11 @@
 
   /// The organisation that holds the key, or nullptr.
   const Organisation* Find(const std::string& key) const;
+  const Organisation* FindByName(OrganisationHash name) const;
 
  private:
   std::unordered_map<std::string, const Organisation*> m_by_key;
+  std::unordered_map<OrganisationHash, const Organisation*> m_by_name;
 };
 
 }  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/quota_message_type.h
@@ -0,0 +1,43 @@
+/// @file quota_message_type.h What entry VMs tell each other of quotas.
+
+#ifndef SORRELPLANK_STEER_QUOTA_MESSAGE_TYPE_H_
+#define SORRELPLANK_STEER_QUOTA_MESSAGE_TYPE_H_
+
+#include <cstdint>
+#include <string>
+
+#include "core/ids_type.h"
+#include "core/time_type.h"
+
+namespace sorrelplank {
+
+/// An entry VM asks the keeper of an organisation's quota for tokens. One token
+/// lets one request run.
+struct QuotaAsk {
+  OrganisationHash m_organisation;
+  /// Tells the answers to one VM's questions apart.
+  uint64_t m_number = 0;
+  uint32_t m_tokens = 0;
+};
+
+/// A question and whom it goes to.
+struct QuotaQuestion {
+  /// Name of the keeper's VM.
+  std::string m_keeper;
+  QuotaAsk m_ask;
+};
+
+/// The keeper's answer.
+struct QuotaGrant {
+  OrganisationHash m_organisation;
+  uint64_t m_number = 0;
+  uint32_t m_tokens = 0;
+  /// False where the VM that was asked does not take itself for the keeper.
+  bool m_is_keeper = false;
+  /// When there will be a token for those that were not granted one.
+  Duration m_wait{};
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_QUOTA_MESSAGE_TYPE_H_
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -14,6 +14,7 @@
 #include "core/vm_record_type.h"
 #include "steer/admission.h"
 #include "steer/crash_fact_type.h"
+#include "steer/quota_message_type.h"
 #include "steer/steer_refusal_type.h"
 
 namespace sorrelplank {
@@ -130,6 +131,11 @@
   const char* m_reason = "";
 };
 
+/// Ask another entry VM for tokens of a quota; TakeQuotaGrant tells the answer.
+struct AskForTokens {
+  QuotaQuestion m_question;
+};
+
 using SteerAction = std::variant<SendToServer,
                                  CancelSend,
                                  ForwardServerAnswer,
@@ -141,7 +147,8 @@
                                  RequestSuspected,
                                  RequestHeld,
                                  HoldEnded,
-                                 CrashesForgotten>;
+                                 CrashesForgotten,
+                                 AskForTokens>;
 
 }  // namespace sorrelplank
 
--- a/src/steer/steer_refusal_type.h
+++ b/src/steer/steer_refusal_type.h
@@ -24,6 +24,8 @@
   kHeldBack,
   kUnknownKey,
   kTableMayBeOld,
+  kOverQuota,
+  kQuotaOutOfReach,
   kCount,
 };
 
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -75,6 +75,10 @@
   uint32_t m_arrivals = 0;
   /// Held until the routing table has been read.
   bool m_awaits_table = false;
+  /// Held until a keeper of its organisation's quota has answered.
+  bool m_awaits_token = false;
+  /// A token of its organisation's quota is spent on it.
+  bool m_has_token = false;
   bool m_waits = false;
   /// Whose slot it waits for first of all.
   std::shared_ptr<ServerTrack> m_waits_for;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -29,6 +29,19 @@
 /// of the other's requests moved 0.32; now 0.06.
 constexpr double kApartPart = 1;
 
+/// All regions, the own one first; the others in an order that differs from
+/// region to region, so that what one lacks is not asked of one other alone.
+std::vector<std::string> RegionsFromOwn(const SteeringSettings& settings) {
+  std::set<std::string> sorted;
+  for (const auto& [domain, region] : settings.m_regions) {
+    sorted.insert(region);
+  }
+  std::vector<std::string> regions(sorted.begin(), sorted.end());
+  const auto own = std::find(regions.begin(), regions.end(), settings.m_region);
+  std::rotate(regions.begin(), own, regions.end());
+  return regions;
+}
+
 }  // namespace
 
 const SteerRefusalRow& DescribeSteerRefusal(SteerRefusal reason) {
@@ -38,7 +51,10 @@
 Steering::Steering(SteeringSettings settings, Sink sink)
     : m_settings(std::move(settings)),
       m_sink(std::move(sink)),
-      m_picker(m_settings) {
+      m_picker(m_settings),
+      m_quota_gate(RegionsFromOwn(m_settings)) {
+  m_quota_gate.SetBounds(m_settings.m_quotas);
+  m_quota_keeper.SetBounds(m_settings.m_quotas);
   for (const auto& [domain, region] : m_settings.m_regions) {
     if (std::find(m_regions.begin(), m_regions.end(), region) ==
         m_regions.end()) {
@@ -174,8 +190,13 @@
     Refuse(request, SteerRefusal::kHeldBack, now);
     return;
   }
-  SteeredService& service = Service(request.m_service);
-  service.CountRequest(now);
+  if (PassesQuota(request, now)) {
+    Begin(request, now);
+  }
+}
+
+void Steering::Begin(SteeredRequest& request, TimePoint now) {
+  Service(request.m_service).CountRequest(now);
   Place(request, now);
 }
 
@@ -247,6 +268,8 @@
     m_shares_updated = now;
     UpdateShares(now);
   }
+  SettleQuota(m_quota_gate.Tick(now), now);
+  m_quota_keeper.ForgetUnused(now);
   std::vector<RequestId> ids;
   ids.reserve(m_requests.size());
   for (const auto& [id, request] : m_requests) {
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -18,6 +18,8 @@
 #include "steer/crash_register.h"
 #include "steer/even_dealer.h"
 #include "steer/organisation_index.h"
+#include "steer/quota_gate.h"
+#include "steer/quota_keeper.h"
 #include "steer/route_index.h"
 #include "steer/routing_table_type.h"
 #include "steer/server_change_type.h"
@@ -93,8 +95,19 @@
   void DropCrash(const CrashFact& fact, TimePoint now);
   const CrashRegister& Crashes() const { return m_crashes; }
 
+  // Quotas of organisations.
+  /// Whether the others may have taken this VM off the fleet without its
+  /// knowledge, and another one keeps the quotas that were its own.
+  void SetMayBeReplaced(bool may_be) { m_may_be_replaced = may_be; }
+  /// Another entry VM asks this one as a keeper.
+  QuotaGrant AnswerQuotaAsk(const QuotaAsk& ask, TimePoint now);
+  /// What came of AskForTokens.
+  void TakeQuotaGrant(const QuotaGrant& grant, TimePoint now);
+
   const RoutingTable* Table() const { return m_table.get(); }
   size_t Running() const { return m_requests.size(); }
+  size_t AwaitingTokens() const { return m_quota_gate.WaitingCount(); }
+  size_t QuotasKept() const { return m_quota_keeper.Count(); }
   size_t ServerCount() const { return m_servers.size(); }
   size_t WaitingCount() const;
   const ServerPicker& Picker() const { return m_picker; }
@@ -127,6 +140,17 @@
   /// Who asks, by the table in force; otherwise why that can't be told.
   std::optional<SteerRefusal> Identify(SteeredRequest& request) const;
   void ChooseService(SteeredRequest& request);
+  /// Starts a request that the quota of its organisation lets pass.
+  void Begin(SteeredRequest& request, TimePoint now);
+  /// Takes a token for the request, or holds or refuses it; whether it may
+  /// begin now.
+  bool PassesQuota(SteeredRequest& request, TimePoint now);
+  /// Hands out questions to keepers; the own ones are answered at once.
+  void AskKeepers(TimePoint now);
+  void SettleQuota(const std::vector<QuotaOutcome>& outcomes, TimePoint now);
+  /// A request that did not run needs its token no more.
+  void ReturnToken(SteeredRequest& request, TimePoint now);
+  void StopAwaitingToken(SteeredRequest& request);
   Choice Choose(const SteeredRequest& request, TimePoint now);
   /// Servers of the request's region, and what it needs of them.
   const std::vector<ServerTrack*>* Candidates(const SteeredRequest& request,
@@ -201,6 +225,9 @@
   /// Requests held while loading, in the order of arrival.
   std::list<RequestId> m_awaiting_table;
   TimePoint m_shares_updated{};
+  QuotaGate m_quota_gate;
+  QuotaKeeper m_quota_keeper;
+  bool m_may_be_replaced = false;
   CrashRegister m_crashes;
   /// By the server's instance.
   std::map<std::string, std::vector<UnsettledEnd>> m_unsettled_ends;
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -35,11 +35,21 @@
   if (reason == SteerRefusal::kHeldBack) {
     refusal.m_retry_after = m_crashes.HeldFor(request.m_facts.m_digest, now);
   }
+  const bool lacks_token = reason == SteerRefusal::kOverQuota ||
+                           reason == SteerRefusal::kQuotaOutOfReach;
+  if (lacks_token) {
+    refusal.m_retry_after =
+        Spread(m_quota_gate.ComeBackAfter(request.m_organisation->m_name),
+               refusal.m_request.Get());
+  }
   const bool promises_not_run =
       DescribeSteerRefusal(reason).m_verdict == Verdict::kNotRun;
   if (request.m_may_have_run && promises_not_run) {
     reason = SteerRefusal::kLost;
   }
+  if (DescribeSteerRefusal(reason).m_verdict == Verdict::kNotRun) {
+    ReturnToken(request, now);
+  }
   refusal.m_reason = reason;
   m_sink(refusal);
   Forget(refusal.m_request);
@@ -128,6 +138,9 @@
   if (it->second.m_awaits_table) {
     m_awaiting_table.remove(id);
   }
+  if (it->second.m_awaits_token) {
+    StopAwaitingToken(it->second);
+  }
   m_requests.erase(it);
 }
 
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -18,11 +18,20 @@
   // A waiting request is handled by the newest table, like one that arrives
   // now; it may have lost its route or key, or gone to another service.
   std::vector<RequestId> waiting;
+  std::vector<RequestId> awaiting_token;
   for (const auto& [id, request] : m_requests) {
     if (request.m_waits) {
       waiting.push_back(id);
+    } else if (request.m_awaits_token) {
+      awaiting_token.push_back(id);
     }
   }
+  for (const RequestId id : awaiting_token) {
+    StopAwaitingToken(m_requests.at(id));
+  }
+  for (const RequestId id : awaiting_token) {
+    Admit(m_requests.at(id), now);
+  }
   for (const RequestId id : waiting) {
     SteeredRequest& request = m_requests.at(id);
     const std::string service = request.m_service;
@@ -128,6 +137,8 @@
 }
 
 void Steering::SetFleet(std::vector<FleetMember> fleet, TimePoint now) {
+  m_quota_gate.SetFleet(fleet);
+  m_quota_keeper.FleetChanged(now);
   m_picker.SetFleet(std::move(fleet), now);
 }
 
@@ -143,6 +154,9 @@
   m_settings.m_cold_factor = settings.m_cold_factor;
   m_settings.m_cold_slack = settings.m_cold_slack;
   m_settings.m_most_shift = settings.m_most_shift;
+  m_settings.m_quotas = settings.m_quotas;
+  m_quota_gate.SetBounds(settings.m_quotas);
+  m_quota_keeper.SetBounds(settings.m_quotas);
 }
 
 std::vector<std::string> Steering::HomesOf(const std::string& host) const {
--- /dev/null
+++ b/src/steer/steering_quotas.cc
@@ -0,0 +1,104 @@
+/// @file steering_quotas.cc Tokens of organisations' quotas.
+
+#include <utility>
+
+#include "steer/steering.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// A keeper that may have been replaced has a part so much smaller: cut off
+/// with those that still ask it, it grants beside the one in its place.
+constexpr size_t kPartsIfReplaced = 3;
+
+}  // namespace
+
+bool Steering::PassesQuota(SteeredRequest& request, TimePoint now) {
+  const Organisation* organisation = request.m_organisation;
+  const bool has_limit =
+      organisation != nullptr && organisation->m_rate_per_second > 0;
+  if (!has_limit || request.m_has_token) {
+    return true;
+  }
+  const RequestId id = request.m_facts.m_request;
+  const QuotaVerdict verdict = m_quota_gate.Arrived(id, *organisation, now);
+  request.m_awaits_token = verdict == QuotaVerdict::kWait;
+  if (!request.m_awaits_token) {
+    SettleQuota({{id, verdict}}, now);
+  }
+  AskKeepers(now);
+  return false;
+}
+
+void Steering::AskKeepers(TimePoint now) {
+  for (QuotaQuestion& question : m_quota_gate.TakeQuestions()) {
+    if (question.m_keeper == m_settings.m_vm) {
+      TakeQuotaGrant(AnswerQuotaAsk(question.m_ask, now), now);
+    } else {
+      m_sink(AskForTokens{std::move(question)});
+    }
+  }
+}
+
+QuotaGrant Steering::AnswerQuotaAsk(const QuotaAsk& ask, TimePoint now) {
+  QuotaGrant grant;
+  grant.m_organisation = ask.m_organisation;
+  grant.m_number = ask.m_number;
+  const Organisation* organisation =
+      m_organisations ? m_organisations->FindByName(ask.m_organisation)
+                      : nullptr;
+  const bool is_keeper =
+      organisation != nullptr && organisation->m_rate_per_second > 0 &&
+      m_quota_gate.Directory().KeeperIn(m_settings.m_region,
+                                        ask.m_organisation) == m_settings.m_vm;
+  if (!is_keeper) {
+    return grant;
+  }
+  const size_t keepers =
+      m_quota_gate.KeeperCount() * (m_may_be_replaced ? kPartsIfReplaced : 1);
+  return m_quota_keeper.Grant(ask, *organisation, keepers, now);
+}
+
+void Steering::TakeQuotaGrant(const QuotaGrant& grant, TimePoint now) {
+  SettleQuota(m_quota_gate.TakeGrant(grant, now), now);
+  AskKeepers(now);
+}
+
+void Steering::SettleQuota(const std::vector<QuotaOutcome>& outcomes,
+                           TimePoint now) {
+  for (const auto& [id, verdict] : outcomes) {
+    SteeredRequest& request = m_requests.at(id);
+    request.m_awaits_token = false;
+    switch (verdict) {
+      case QuotaVerdict::kWait:
+        break;
+      case QuotaVerdict::kPass:
+        request.m_has_token = true;
+        Begin(request, now);
+        break;
+      case QuotaVerdict::kOver:
+        Refuse(request, SteerRefusal::kOverQuota, now);
+        break;
+      case QuotaVerdict::kOutOfReach:
+        Refuse(request, SteerRefusal::kQuotaOutOfReach, now);
+        break;
+    }
+  }
+}
+
+void Steering::ReturnToken(SteeredRequest& request, TimePoint now) {
+  if (!std::exchange(request.m_has_token, false)) {
+    return;
+  }
+  if (request.m_organisation != nullptr) {
+    m_quota_gate.Return(request.m_organisation->m_name, now);
+  }
+}
+
+void Steering::StopAwaitingToken(SteeredRequest& request) {
+  m_quota_gate.Left(request.m_facts.m_request, request.m_organisation->m_name);
+  request.m_awaits_token = false;
+}
+
+}  // namespace sorrelplank
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -248,6 +248,10 @@
   if (it == m_requests.end()) {
     return;
   }
+  const bool was_sent = !it->second.m_tried.empty();
+  if (!was_sent) {
+    ReturnToken(it->second, now);
+  }
   CancelLive(it->second, false, now);
   Forget(id);
 }
@@ -259,6 +263,12 @@
     }
     return;
   }
+  if (request.m_awaits_token) {
+    if (now >= request.m_finish_by) {
+      Refuse(request, SteerRefusal::kTooLate, now);
+    }
+    return;
+  }
   if (now >= request.m_finish_by) {
     const bool runs = !request.m_live.empty();
     CancelLive(request, true, now);
--- a/src/steer/steering_settings_type.h
+++ b/src/steer/steering_settings_type.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/time_type.h"
+#include "steer/quota_bounds_type.h"
 
 namespace sorrelplank {
 
@@ -28,6 +29,7 @@
   /// Largest part of a region's requests that may change the region they run
   /// in between two adjacent windows of 2 s.
   double m_most_shift = 0.15;
+  QuotaBounds m_quotas = {};
 };
 
 }  // namespace sorrelplank
--- a/src/table/steer_refusal_table.h
+++ b/src/table/steer_refusal_table.h
@@ -26,6 +26,9 @@
         {SteerRefusal::kUnknownKey, 401, "unknown_key", Verdict::kNotRun},
         {SteerRefusal::kTableMayBeOld, 503, "table_may_be_old",
          Verdict::kNotRun},
+        {SteerRefusal::kOverQuota, 429, "over_quota", Verdict::kNotRun},
+        {SteerRefusal::kQuotaOutOfReach, 503, "quota_out_of_reach",
+         Verdict::kNotRun},
     }};
 
 }  // namespace sorrelplank
