--- a/src/steer/quota_gate.cc
+++ b/src/steer/quota_gate.cc
@@ -27,9 +27,6 @@
 /// An answer that there is no token holds for so long; asked for each request,
 /// the keepers of an organisation far over its limit had nothing else to do.
 constexpr Duration kRefusalHolds = milliseconds(100);
-/// An organisation that was over its limit is taken for that so long: the
-/// requests refused meanwhile come back within this time.
-constexpr Duration kOverHolds = seconds(2);
 /// Accounts without requests are forgotten.
 constexpr Duration kUnusedFor = seconds(60);
 constexpr Duration kSweepInterval = seconds(5);
@@ -48,7 +45,6 @@
 
 QuotaVerdict QuotaGate::Arrived(RequestId request,
                                 const Organisation& organisation,
-                                bool can_be_in_time,
                                 TimePoint now) {
   const OrganisationHash hash = HashOrganisation(organisation.m_name);
   Account& account = m_accounts[hash];
@@ -57,9 +53,6 @@
   if (account.m_alone) {
     account.m_alone->SetPart(alone, now);
   }
-  if (!can_be_in_time && now < account.m_over_until) {
-    return QuotaVerdict::kOver;
-  }
   if (TakeToken(account, now)) {
     const bool runs_low = account.m_tokens * 2 < TokensAhead(account);
     if (runs_low && !account.m_open && now >= account.m_refused_until) {
@@ -259,9 +252,6 @@
   if (account.m_tokens == 0) {
     account.m_refused_until = now + kRefusalHolds;
   }
-  if (account.m_was_reached && !account.m_waiting.empty()) {
-    account.m_over_until = now + kOverHolds;
-  }
   for (const RequestId request : account.m_waiting) {
     outcomes.push_back({request, VerdictWithoutToken(account, now)});
   }
--- a/src/steer/quota_gate.h
+++ b/src/steer/quota_gate.h
@@ -56,12 +56,9 @@
   /// Keepers of one organisation.
   size_t KeeperCount() const { return m_regions.size(); }
 
-  /// A request of an organisation with a limit. Where the organisation is over
-  /// it, those whose answer would be late anyway leave the tokens to those that
-  /// can be in time.
+  /// A request of an organisation with a limit.
   QuotaVerdict Arrived(RequestId request,
                        const Organisation& organisation,
-                       bool can_be_in_time,
                        TimePoint now);
   /// A request that waits is given up.
   void Left(RequestId request, const std::string& organisation);
@@ -108,8 +105,6 @@
     /// Requests lately, each fading; see RatePerSecond.
     double m_recent = 0;
     TimePoint m_arrived;
-    /// Until then the organisation counts as over its limit.
-    TimePoint m_over_until;
     /// Until then the answer is known without asking.
     TimePoint m_refused_until;
     /// Whether a keeper answered when tokens were last asked for.
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -14,7 +14,6 @@
 #include <vector>
 
 #include "steer/attempt_report_type.h"
-#include "steer/caller_patience.h"
 #include "steer/crash_fact_type.h"
 #include "steer/crash_register.h"
 #include "steer/even_dealer.h"
@@ -152,9 +151,6 @@
   /// A request that did not run needs its token no more.
   void ReturnToken(SteeredRequest& request, TimePoint now);
   void StopAwaitingToken(SteeredRequest& request);
-  /// Whether the answer can come within the target, counted from the caller's
-  /// first attempt.
-  bool CanBeInTime(const SteeredRequest& request);
   Choice Choose(const SteeredRequest& request, TimePoint now);
   /// Servers of the request's region, and what it needs of them.
   const std::vector<ServerTrack*>* Candidates(const SteeredRequest& request,
@@ -229,8 +225,6 @@
   /// Requests held while loading, in the order of arrival.
   std::list<RequestId> m_awaiting_table;
   TimePoint m_shares_updated{};
-  /// By route.
-  std::map<std::string, CallerPatience> m_patience;
   QuotaGate m_quota_gate;
   QuotaKeeper m_quota_keeper;
   bool m_may_be_replaced = false;
--- a/src/steer/steering_quotas.cc
+++ b/src/steer/steering_quotas.cc
@@ -11,8 +11,6 @@
 /// A keeper that may have been replaced has a part so much smaller: cut off
 /// with those that still ask it, it grants beside the one in its place.
 constexpr size_t kPartsIfReplaced = 3;
-/// A caller that has waited for less is taken for one at its first attempt.
-constexpr Duration kFirstAttempt = milliseconds(50);
 
 }  // namespace
 
@@ -24,8 +22,7 @@
     return true;
   }
   const RequestId id = request.m_facts.m_request;
-  const QuotaVerdict verdict =
-      m_quota_gate.Arrived(id, *organisation, CanBeInTime(request), now);
+  const QuotaVerdict verdict = m_quota_gate.Arrived(id, *organisation, now);
   request.m_awaits_token = verdict == QuotaVerdict::kWait;
   if (!request.m_awaits_token) {
     SettleQuota({{id, verdict}}, now);
@@ -34,14 +31,6 @@
   return false;
 }
 
-bool Steering::CanBeInTime(const SteeredRequest& request) {
-  const RouteRule& route = *request.m_route;
-  const Duration waited =
-      m_patience[route.m_name].Note(request.m_facts.m_time_left);
-  const Duration usual = Service(request.m_service).Usual().m_latency;
-  return waited < kFirstAttempt || waited + usual <= route.m_target_latency;
-}
-
 void Steering::AskKeepers(TimePoint now) {
   for (QuotaQuestion& question : m_quota_gate.TakeQuestions()) {
     if (question.m_keeper == m_settings.m_vm) {
