Do not take a server's 504 at the deadline for its failure

What callers saw: under overload whole services fell behind for good.

Cause: a request that waited long is sent with little time left, and the server answers 504 at its deadline. Two such answers in a row made the server rest, and its objects went to servers that were not warm for them, which take 3.3 times as long and fell behind in turn.

Change: such an answer ends a send as out of time. It counts neither for nor against the server; it is forwarded and may be sent again as before.

Other errors of a server count as before, so one that fails its requests still rests.

--- a/src/proxy/reply_judge.cc
+++ b/src/proxy/reply_judge.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kMisdirected = 421;
+constexpr int kDeadlinePassed = 504;
 
 AttemptEnd JudgeAnswer(const HttpResponse& answer, const ProxyNames& names) {
   if (answer.m_status == kMisdirected) {
@@ -24,6 +25,9 @@
     // A success that no server vouches for is nobody's answer.
     return AttemptEnd::kLost;
   }
+  if (answer.m_status == kDeadlinePassed) {
+    return AttemptEnd::kOutOfTime;
+  }
   return answer.m_status >= 500 ? AttemptEnd::kServerError
                                 : AttemptEnd::kAnswered;
 }
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -61,6 +61,8 @@
       return "answered";
     case AttemptEnd::kServerError:
       return "server_error";
+    case AttemptEnd::kOutOfTime:
+      return "out_of_time";
     case AttemptEnd::kRejected:
       return "rejected";
     case AttemptEnd::kWrongInstance:
@@ -112,6 +114,12 @@
     return;
   }
   Blend(m_rejections, 0);
+  if (report.m_end == AttemptEnd::kOutOfTime) {
+    // It says nothing of the server. Taken for failures, two of them made it
+    // rest under overload, and its objects went to servers that were not warm
+    // for them; these fell behind in turn.
+    return;
+  }
   if (report.m_end != AttemptEnd::kAnswered) {
     const bool is_unsent = report.m_end == AttemptEnd::kNotSent;
     CountFailure(is_unsent ? kUnsentToRest : kFailuresToRest, now);
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -218,7 +218,7 @@
     Place(request, now);
     return;
   }
-  if (end == AttemptEnd::kServerError) {
+  if (end == AttemptEnd::kServerError || end == AttemptEnd::kOutOfTime) {
     m_sink(ForwardServerAnswer{request.m_facts.m_request, attempt});
     Forget(request.m_facts.m_request);
     return;
