Do not take a timeout behind a long queue for a server's failure

Cause: each such end counted as a lost answer, and two made the server rest.

Weighed: (1) no end at a timeout before five usual times counts; (2) it counts where the request had the time for work that is not warm, 3.3 usual times, behind the queue that is there.

An idle server that answers nothing still rests after two.

--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -22,9 +22,6 @@
 /// Servers that an object may go to while all are sound. More would find a free
 /// slot sooner and be cold for the object more often.
 constexpr size_t kChoicesOfObject = 2;
-/// Work on an object for which a server is not warm, in usual latencies; by the
-/// deployments' measure of warm work.
-constexpr double kNotWarmFactor = 3.3;
 /// Part of a region's VMs that are taken to be cut off from the store at once.
 /// Servers may turn cold without their learning of it. They share the half of
 /// the bound that the one VM which sends to a cold server leaves.
@@ -160,7 +157,7 @@
     // after.
     const bool is_warm = !need.m_keeps_objects_together || considered == 1 ||
                          server->IsWarmFor(need.m_object, now);
-    const double time = wait + (is_warm ? 1 : kNotWarmFactor);
+    const double time = wait + (is_warm ? 1 : ServerTrack::kNotWarmFactor);
     if (best.m_first == nullptr || time < first_time) {
       best.m_first = server;
       first_time = time;
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -131,6 +131,14 @@
   m_others.AddAnswer(report, m_entry.m_slots);
 }
 
+bool ServerTrack::HadEnoughTime(Duration given,
+                                Duration usual,
+                                TimePoint now) const {
+  const double queue = std::max(1.0, Occupancy(now) / m_entry.m_slots);
+  return ToMilliseconds(given) >=
+         kNotWarmFactor * queue * ToMilliseconds(usual);
+}
+
 void ServerTrack::TakeReport(const ReportedLoad& load,
                              Duration age,
                              TimePoint now) {
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -22,6 +22,10 @@
 /// cost the server work, and their answers may be wrong.
 class ServerTrack {
  public:
+  /// Work on an object for which a server is not warm, in usual latencies; by
+  /// the deployments' measure of warm work.
+  static constexpr double kNotWarmFactor = 3.3;
+
   /// The region by the number that Steering gave it.
   ServerTrack(ServerEntry entry, size_t region, TimePoint now);
 
@@ -64,6 +68,10 @@
   /// Whether the limit on the rate allows a request.
   bool HasRateRoom(uint32_t most_per_second, TimePoint now);
 
+  /// Whether a request that was given so long should have been answered, though
+  /// the server is not warm for its object and others wait there.
+  bool HadEnoughTime(Duration given, Duration usual, TimePoint now) const;
+
   uint32_t InFlight() const { return m_own; }
   /// Consecutive sends that failed.
   uint32_t FailuresInRow() const { return m_failures_in_row; }
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -172,6 +172,7 @@
   void CheckTime(SteeredRequest& request, TimePoint now);
   void SendSecondCopy(SteeredRequest& request, TimePoint now);
   void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
+  /// Gives up all sends; counted as lost where the servers had enough time.
   void CancelLive(SteeredRequest& request, bool counts_as_lost, TimePoint now);
   void Forget(RequestId id);
   /// Notes the end of a send, and tells where the server's standing changed.
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -58,8 +58,12 @@
 void Steering::CancelLive(SteeredRequest& request,
                           bool counts_as_lost,
                           TimePoint now) {
+  const Duration usual = Service(request.m_service).Usual().m_latency;
   for (const LiveAttempt& live : request.m_live) {
-    if (counts_as_lost) {
+    const bool is_lost =
+        counts_as_lost &&
+        live.m_server->HadEnoughTime(now - live.m_sent, usual, now);
+    if (is_lost) {
       AttemptReport report;
       report.m_end = AttemptEnd::kLost;
       CountEnd(*live.m_server, report, now);
--- a/tests/steering_overload_test.cc
+++ b/tests/steering_overload_test.cc
@@ -25,6 +25,15 @@
     }
     return rests;
   }
+
+  /// One request after the other, each answered after 100 ms.
+  void LearnUsualTime() {
+    for (int request = 0; request < 20; ++request) {
+      Arrive("/write/x");
+      Pass(milliseconds(100));
+      End(*Last<SendToServer>(), AttemptEnd::kAnswered);
+    }
+  }
 };
 
 std::unique_ptr<OverloadFixture> g_fixture;
@@ -68,5 +77,30 @@
   cr_assert_eq(JudgeReply(reply, names).m_end, AttemptEnd::kOutOfTime);
 }
 
+// The same where this VM ends the requests at their routes' timeouts.
+Test(SteeringOverload, TimeoutsBehindALongQueue_Server_DoesNotRest) {
+  g_fixture->LearnUsualTime();
+  RouteRule route = MakeRoute("/write/", false);
+  route.m_timeout = milliseconds(300);
+  g_fixture->Install(2, {route});
+  for (int round = 0; round < 4; ++round) {
+    for (int request = 0; request < 3; ++request) {
+      g_fixture->Arrive("/write/x");
+    }
+    g_fixture->Pass(milliseconds(400));
+  }
+  cr_assert_eq(g_fixture->Rests(), 0);
+}
+
+// A server that has nothing else to do takes requests and answers none.
+Test(SteeringOverload, TimeoutsAtAnIdleServer_Server_Rests) {
+  g_fixture->LearnUsualTime();
+  for (int request = 0; request < 3; ++request) {
+    g_fixture->Arrive("/write/x");
+    g_fixture->Pass(seconds(2) + milliseconds(20));
+  }
+  cr_assert_gt(g_fixture->Rests(), 0);
+}
+
 }  // namespace
 }  // namespace sorrelplank
