--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -84,23 +84,28 @@
   CheckPromise(id, request);
 }
 
-void Ledger::Runs(const std::string& id,
-                  const std::string& server,
-                  const std::string& path,
-                  const std::string& body) {
+void Ledger::Runs(const std::string& id, const ServerRun& run) {
   const auto it = m_requests.find(id);
   if (it == m_requests.end()) {
-    Breach("nothing unasked", id, "runs at " + server + "; nobody sent it");
+    Breach("nothing unasked", id,
+           "runs at " + run.m_server + "; nobody sent it");
     return;
   }
   CallerRequest& request = it->second;
-  if (request.m_path != path || request.m_body != body) {
-    Breach("nothing unasked", id, "runs at " + server + " altered");
+  if (request.m_path != run.m_path || request.m_body != run.m_body) {
+    Breach("nothing unasked", id, "runs at " + run.m_server + " altered");
+  }
+  const bool is_callers = request.m_organisation == run.m_organisation;
+  if (!is_callers || run.m_organisation.empty() || run.m_has_key) {
+    Breach("who asks", id,
+           "runs at " + run.m_server + " for '" + run.m_organisation +
+               "' instead of '" + request.m_organisation + "', key " +
+               (run.m_has_key ? "passed on" : "kept"));
   }
   ++request.m_runs;
   ++m_counts.m_runs;
   if (!request.m_idempotent && request.m_runs > 1) {
-    Breach("at most once", id, "runs again, at " + server);
+    Breach("at most once", id, "runs again, at " + run.m_server);
   }
   CheckPromise(id, request);
 }
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -29,10 +29,23 @@
   std::string m_path;
   std::string m_body;
   bool m_idempotent = true;
+  /// Whose key it showed; empty: a key that nobody holds.
+  std::string m_organisation;
   CallerEnd m_end = CallerEnd::kPending;
   int m_runs = 0;
 };
 
+/// A request as a backend server got it.
+struct ServerRun {
+  std::string m_server;
+  std::string m_path;
+  std::string m_body;
+  /// What the server was told of who asks.
+  std::string m_organisation;
+  /// Whether the caller's key came along.
+  bool m_has_key = false;
+};
+
 /// An answer as a caller received it.
 struct CallerAnswer {
   int m_status = 0;
@@ -61,10 +74,7 @@
   void Ended(const std::string& id, CallerEnd end);
 
   /// A backend server begins to work on a request.
-  void Runs(const std::string& id,
-            const std::string& server,
-            const std::string& path,
-            const std::string& body);
+  void Runs(const std::string& id, const ServerRun& run);
 
   /// The body of a server's answer to a request.
   static std::string AnswerBody(const std::string& id, const std::string& path);
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -8,6 +8,7 @@
 
 #include "platform/wire_names.h"
 #include "soak/ledger.h"
+#include "soak/soak_keys.h"
 
 namespace sorrelplank::soak {
 
@@ -73,16 +74,19 @@
   const bool is_read = m_random() % 2 == 0;
   const std::string path = is_read ? "/read/" + m_id : "/write/" + m_id;
   const std::string body = is_read ? "" : "body of " + m_id;
+  const SoakKey& key = KeyAt(m_random() % 100);
   m_ledger.Sent(m_id, {.m_vm = m_target.m_vm,
                        .m_path = path,
                        .m_body = body,
-                       .m_idempotent = is_read});
+                       .m_idempotent = is_read,
+                       .m_organisation = key.m_organisation});
   m_bytes = fmt::format(
-      "{} {} HTTP/1.1\r\nHost: soak.example\r\n{}: {}\r\n{}: {}\r\n{}: "
-      "{}\r\nContent-Length: {}\r\n\r\n{}",
-      is_read ? "GET" : "POST", path, names.m_request_id, m_id,
-      names.m_deadline_ms, kPatience / milliseconds(1), names.m_object,
-      m_random() % kObjects, body.size(), body);
+      "{} {} HTTP/1.1\r\nHost: soak.example\r\n{}: Bearer {}\r\n{}: forged\r\n"
+      "{}: {}\r\n{}: {}\r\n{}: {}\r\nContent-Length: {}\r\n\r\n{}",
+      is_read ? "GET" : "POST", path, names.m_credentials, key.m_key,
+      names.m_organisation, names.m_request_id, m_id, names.m_deadline_ms,
+      kPatience / milliseconds(1), names.m_object, m_random() % kObjects,
+      body.size(), body);
   http_parser_init(&m_parser, HTTP_RESPONSE);
   m_parser.data = this;
   m_is_complete = false;
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -8,6 +8,7 @@
 #include "net/http_client.h"
 #include "platform/wire_names.h"
 #include "serve/clock_func.h"
+#include "soak/soak_keys.h"
 #include "soak/soak_world.h"
 
 namespace sorrelplank::soak {
@@ -156,13 +157,17 @@
   const Vm& vm = AnyVm(random);
   const ProxyNames names = platform::HeaderNames();
   const std::string id = path.substr(1) + "-" + std::to_string(attempt);
-  m_ledger.Sent(id, {.m_vm = vm.m_name, .m_path = path, .m_body = ""});
+  m_ledger.Sent(id, {.m_vm = vm.m_name,
+                     .m_path = path,
+                     .m_body = "",
+                     .m_organisation = kFreeOrganisation});
   m_crashing.Asked(id, path, {vm.m_name, vm.m_starts});
   HttpFetch fetch;
   fetch.m_url = "http://" + CallerAddress(vm) + path;
   fetch.m_headers = {{"Host", "soak.example"},
                      {names.m_request_id, id},
                      {names.m_deadline_ms, "3000"},
+                     {names.m_credentials, std::string("Bearer ") + kFreeKey},
                      {names.m_object, "1"}};
   fetch.m_timeout = seconds(4);
   fetch.m_fresh_connection = true;
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -108,7 +108,14 @@
 void SoakServer::Run(Work work) {
   const ProxyNames names = platform::HeaderNames();
   const std::string id = work.m_request.Header(names.m_request_id).value_or("");
-  m_ledger.Runs(id, m_instance, work.m_request.m_target, work.m_request.m_body);
+  m_ledger.Runs(
+      id,
+      {.m_server = m_instance,
+       .m_path = work.m_request.m_target,
+       .m_body = work.m_request.m_body,
+       .m_organisation =
+           work.m_request.Header(names.m_organisation).value_or(""),
+       .m_has_key = work.m_request.Header(names.m_credentials).has_value()});
   m_on_run(id, *this);
   ++m_running;
   if (CrashingRequests::Ends(work.m_request.m_target)) {
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -12,6 +12,7 @@
 
 #include "platform/wire_names.h"
 #include "serve/clock_func.h"
+#include "soak/soak_keys.h"
 
 namespace sorrelplank::soak {
 
@@ -26,6 +27,8 @@
 constexpr int kCallers = 24;
 constexpr uint16_t kStorePort = 9400;
 constexpr uint16_t kStoreProxyPort = 9402;
+/// Limit of the organisation that asks for more.
+constexpr int kLimitPerSecond = 4;
 constexpr uint16_t kCallerPort = 8080;
 constexpr uint16_t kReadyPort = 8081;
 constexpr uint16_t kDirectoryPort = 8082;
@@ -163,6 +166,9 @@
       {"retry_window_s", 10},
       {"cold_factor", 1.5},
       {"cold_slack", 5},
+      {"quota_window_s", 5},
+      {"quota_excess", 0.1},
+      {"quota_slack", 20},
       {"most_shift", 0.15}};
   std::ofstream(m_options.m_folder + "/" + vm.m_name + ".json")
       << settings.dump(2);
@@ -179,6 +185,10 @@
   add("read", "idempotent", kServices[0]);
   add("write", "non_idempotent", kServices[1]);
   add("added" + std::to_string(m_version), "idempotent", kServices[0]);
+  json free_keys = json::array({kFreeKey});
+  if (m_version % 2 == 0) {
+    free_keys.push_back(kPassingKey);
+  }
   const json config = {
       {"Version", "r" + std::to_string(m_version)},
       {"Routes",
@@ -186,6 +196,12 @@
          {"Name", "Host", "Prefix", "Kind", "TimeoutS", "TargetLatencyS",
           "MaxAttempts", "SessionAffinity", "Service"}},
         {"Rows", rows}}},
+      {"Tenants",
+       {{"Columns", {"Name", "ApiKeys", "RatePerS", "Burst"}},
+        {"Rows",
+         {{kFreeOrganisation, free_keys, nullptr, nullptr},
+          {kLimitedOrganisation, json::array({kLimitedKey}), kLimitPerSecond,
+           kLimitPerSecond}}}}},
       {"Services",
        {{"Columns", {"Name", "MaxConns", "ColdStartS", "ColdPerS"}},
         {"Rows", {{kServices[0], 100, 0, 0}, {kServices[1], 100, 0, 0}}}}}};
--- a/tests/soak_ledger_test.cc
+++ b/tests/soak_ledger_test.cc
@@ -9,6 +9,15 @@
 namespace sorrelplank::soak {
 namespace {
 
+ServerRun MakeRun(const std::string& server,
+                  const std::string& path,
+                  const std::string& body) {
+  return {.m_server = server,
+          .m_path = path,
+          .m_body = body,
+          .m_organisation = "acme"};
+}
+
 /// A caller that has sent one write and one read.
 struct LedgerFixture {
   Ledger m_ledger;
@@ -17,11 +26,15 @@
     m_ledger.Sent("w", {.m_vm = "vm",
                         .m_path = "/write/w",
                         .m_body = "b",
-                        .m_idempotent = false});
-    m_ledger.Sent("r", {.m_vm = "vm", .m_path = "/read/r", .m_body = ""});
+                        .m_idempotent = false,
+                        .m_organisation = "acme"});
+    m_ledger.Sent("r", {.m_vm = "vm",
+                        .m_path = "/read/r",
+                        .m_body = "",
+                        .m_organisation = "acme"});
   }
 
-  void RunWrite() { m_ledger.Runs("w", "i-1", "/write/w", "b"); }
+  void RunWrite() { m_ledger.Runs("w", MakeRun("i-1", "/write/w", "b")); }
   void AnswerWrite(int status) {
     m_ledger.Answered("w", {.m_status = status,
                             .m_has_stamp = true,
@@ -56,8 +69,8 @@
 }
 
 Test(SoakLedger, Read_RunsTwice_IsNoBreach) {
-  g_fixture->m_ledger.Runs("r", "i-1", "/read/r", "");
-  g_fixture->m_ledger.Runs("r", "i-2", "/read/r", "");
+  g_fixture->m_ledger.Runs("r", MakeRun("i-1", "/read/r", ""));
+  g_fixture->m_ledger.Runs("r", MakeRun("i-2", "/read/r", ""));
   cr_assert_eq(g_fixture->Breaches(), 0);
 }
 
@@ -104,13 +117,24 @@
 }
 
 Test(SoakLedger, Run_NobodySent_IsABreach) {
-  g_fixture->m_ledger.Runs("x", "i-1", "/write/x", "");
+  g_fixture->m_ledger.Runs("x", MakeRun("i-1", "/write/x", ""));
   cr_assert_eq(g_fixture->Breaches(), 1);
 }
 
 Test(SoakLedger, Run_WithAnotherBody_IsABreach) {
-  g_fixture->m_ledger.Runs("w", "i-1", "/write/w", "other");
+  g_fixture->m_ledger.Runs("w", MakeRun("i-1", "/write/w", "other"));
+  cr_assert_eq(g_fixture->Breaches(), 1);
+}
+
+Test(SoakLedger, RunForAnotherOrganisationOrWithTheKey_IsABreach) {
+  ServerRun run = MakeRun("i-1", "/read/r", "");
+  run.m_organisation = "byte";
+  g_fixture->m_ledger.Runs("r", run);
   cr_assert_eq(g_fixture->Breaches(), 1);
+  run.m_organisation = "acme";
+  run.m_has_key = true;
+  g_fixture->m_ledger.Runs("r", run);
+  cr_assert_eq(g_fixture->Breaches(), 2);
 }
 
 }  // namespace
