Compare ranks by a function with a name

The linter takes the defaulted comparison for a null pointer; a name tells besides which of two goes first. A comment named a function that there is not. No behaviour changes.

--- a/src/steer/quota_gate.h
+++ b/src/steer/quota_gate.h
@@ -102,7 +102,7 @@
     TimePoint m_tokens_end;
     std::list<RequestId> m_waiting;
     std::optional<Open> m_open;
-    /// Requests lately, each fading; see RatePerSecond.
+    /// Requests lately, each fading over a second.
     double m_recent = 0;
     TimePoint m_arrived;
     /// Until then the answer is known without asking.
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -3,11 +3,11 @@
 #ifndef SORRELPLANK_STEER_STEERED_REQUEST_TYPE_H_
 #define SORRELPLANK_STEER_STEERED_REQUEST_TYPE_H_
 
-#include <compare>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/ids_type.h"
@@ -22,13 +22,16 @@
 struct RoutingTable;
 class ServerTrack;
 
-/// Order in a line; the lesser goes first.
+/// Order in a line; the lesser numbers go first.
 struct RequestRank {
   /// The organisation's priority, or else the route's.
   int m_organisation = 0;
   int m_route = 0;
 
-  auto operator<=>(const RequestRank&) const = default;
+  bool GoesBefore(const RequestRank& other) const {
+    return std::tie(m_organisation, m_route) <
+           std::tie(other.m_organisation, other.m_route);
+  }
 };
 
 /// What a client asks for.
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -60,9 +60,8 @@
                           TimePoint now) {
   const Duration usual = Service(request.m_service).Usual().m_latency;
   for (const LiveAttempt& live : request.m_live) {
-    const bool is_lost =
-        counts_as_lost &&
-        live.m_server->HadEnoughTime(now - live.m_sent, usual, now);
+    const bool is_lost = counts_as_lost && live.m_server->HadEnoughTime(
+                                               now - live.m_sent, usual, now);
     if (is_lost) {
       AttemptReport report;
       report.m_end = AttemptEnd::kLost;
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -65,7 +65,7 @@
   request.m_waits_for = m_servers.at(server->Entry().m_instance);
   request.m_waits_for->AddWaiting();
   const auto later = std::find_if(line.begin(), line.end(), [&](RequestId id) {
-    return m_requests.at(id).m_rank > request.m_rank;
+    return request.m_rank.GoesBefore(m_requests.at(id).m_rank);
   });
   line.insert(later, request.m_facts.m_request);
 }
