Name what takes a token, and record the last figures

PassesQuota answered false where it had begun the request itself. TakeToken begins, holds or refuses it, and is called where HasLimit says so. No behaviour changes.

--- a/src/steer/organisation_type.h
+++ b/src/steer/organisation_type.h
@@ -24,6 +24,11 @@
   std::vector<std::string> m_home_regions;
 };
 
+/// Whether it may run only so many requests; false for nullptr.
+inline bool HasLimit(const Organisation* organisation) {
+  return organisation != nullptr && organisation->m_rate_per_second > 0;
+}
+
 /// The name, or nothing for nullptr.
 inline std::string NameOf(const Organisation* organisation) {
   return organisation == nullptr ? std::string() : organisation->m_name;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -190,7 +190,9 @@
     Refuse(request, SteerRefusal::kHeldBack, now);
     return;
   }
-  if (PassesQuota(request, now)) {
+  if (HasLimit(request.m_organisation) && !request.m_has_token) {
+    TakeToken(request, now);
+  } else {
     Begin(request, now);
   }
 }
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -142,9 +142,9 @@
   void ChooseService(SteeredRequest& request);
   /// Starts a request that the quota of its organisation lets pass.
   void Begin(SteeredRequest& request, TimePoint now);
-  /// Takes a token for the request, or holds or refuses it; whether it may
-  /// begin now.
-  bool PassesQuota(SteeredRequest& request, TimePoint now);
+  /// Begins the request with a token of its organisation's quota, holds it for
+  /// one, or refuses it.
+  void TakeToken(SteeredRequest& request, TimePoint now);
   /// Hands out questions to keepers; the own ones are answered at once.
   void AskKeepers(TimePoint now);
   void SettleQuota(const std::vector<QuotaOutcome>& outcomes, TimePoint now);
--- a/src/steer/steering_quotas.cc
+++ b/src/steer/steering_quotas.cc
@@ -14,21 +14,15 @@
 
 }  // namespace
 
-bool Steering::PassesQuota(SteeredRequest& request, TimePoint now) {
-  const Organisation* organisation = request.m_organisation;
-  const bool has_limit =
-      organisation != nullptr && organisation->m_rate_per_second > 0;
-  if (!has_limit || request.m_has_token) {
-    return true;
-  }
+void Steering::TakeToken(SteeredRequest& request, TimePoint now) {
   const RequestId id = request.m_facts.m_request;
-  const QuotaVerdict verdict = m_quota_gate.Arrived(id, *organisation, now);
+  const QuotaVerdict verdict =
+      m_quota_gate.Arrived(id, *request.m_organisation, now);
   request.m_awaits_token = verdict == QuotaVerdict::kWait;
   if (!request.m_awaits_token) {
     SettleQuota({{id, verdict}}, now);
   }
   AskKeepers(now);
-  return false;
 }
 
 void Steering::AskKeepers(TimePoint now) {
@@ -49,7 +43,7 @@
       m_organisations ? m_organisations->FindByName(ask.m_organisation)
                       : nullptr;
   const bool is_keeper =
-      organisation != nullptr && organisation->m_rate_per_second > 0 &&
+      HasLimit(organisation) &&
       m_quota_gate.Directory().KeeperIn(m_settings.m_region,
                                         ask.m_organisation) == m_settings.m_vm;
   if (!is_keeper) {
