Read the limit that a backend server names, and tell it in the log

What callers saw: nothing; of an overloaded server neither logs nor metrics told that it had named a limit.

Change: an answer of a server's own is read for its limit (421 is another server's word), and what the run asks is kept with the server. A line tells when a limit begins, changes or ends, and once a run that a field cannot be read.

--- a/src/proxy/front.cc
+++ b/src/proxy/front.cc
@@ -240,6 +240,10 @@
                {"problem", reply.m_problem},
                {"latency_ms", LogMs(report.m_latency)},
                {"kept_connection", int64_t{reply.m_kept_connection ? 1 : 0}}});
+  for (const std::string& name :
+       m_answer_fields.TakeNew(reply.m_response.m_headers)) {
+    m_log.Write("answer_field", {{"request", it->second.m_id}, {"name", name}});
+  }
   it->second.m_server_answer = std::move(reply.m_response);
   m_steering.Ended(request, attempt, report, SteadyNow());
 }
--- a/src/proxy/front.h
+++ b/src/proxy/front.h
@@ -14,6 +14,7 @@
 #include "core/ids_type.h"
 #include "core/request_digest_type.h"
 #include "net/http_message_type.h"
+#include "proxy/answer_fields.h"
 #include "proxy/proxy_names_type.h"
 #include "proxy/request_digest_func.h"
 #include "proxy/server_pool.h"
@@ -100,6 +101,7 @@
   CrashTeller m_tell_crash = [](const CrashNews&) {};
   QuotaAsker m_ask_for_tokens = [](const QuotaQuestion&) {};
   uint64_t m_next_request = 1;
+  AnswerFields m_answer_fields;
   bool m_is_stopping = false;
   std::unordered_map<RequestId, Open> m_open;
   std::multimap<uint64_t, RequestId> m_by_connection;
--- a/src/proxy/proxy_names_type.h
+++ b/src/proxy/proxy_names_type.h
@@ -27,6 +27,8 @@
   std::string m_not_run;
   /// "RUNNING,WAITING,SLOTS" of the server.
   std::string m_load;
+  /// Requests a second that the server takes from all callers together.
+  std::string m_rate_limit;
   /// The instance that answered.
   std::string m_instance;
 };
--- a/src/proxy/reply_judge.cc
+++ b/src/proxy/reply_judge.cc
@@ -4,6 +4,7 @@
 
 #include "proxy/proxy_names_type.h"
 #include "proxy/reply_judge_func.h"
+#include "proxy/server_notice_func.h"
 #include "proxy/server_reply_type.h"
 
 namespace sorrelplank {
@@ -52,6 +53,9 @@
   if (load != nullptr) {
     report.m_load = ParseLoad(*load);
   }
+  if (report.m_end != AttemptEnd::kWrongInstance) {
+    report.m_notice = ReadServerNotice(reply.m_response, names);
+  }
   return report;
 }
 
--- a/src/proxy/reply_judge_func.h
+++ b/src/proxy/reply_judge_func.h
@@ -12,7 +12,7 @@
 struct ProxyNames;
 struct ServerReply;
 
-/// What the end of a send proves and tells of the server's load.
+/// What the end of a send proves and tells of the server.
 AttemptReport JudgeReply(const ServerReply& reply, const ProxyNames& names);
 
 /// Reads "RUNNING,WAITING,SLOTS"; nothing where the text is anything else.
--- /dev/null
+++ b/src/proxy/server_notice.cc
@@ -0,0 +1,48 @@
+/// @file server_notice.cc Parsing of header fields.
+
+#include <charconv>
+#include <cmath>
+#include <optional>
+#include <string>
+
+#include "net/http_message_type.h"
+#include "proxy/proxy_names_type.h"
+#include "proxy/server_notice_func.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// A decimal number of zero or more, without sign and exponent.
+std::optional<double> ParseDecimal(std::string text) {
+  const size_t last = text.find_last_not_of(" \t");
+  text.resize(last == std::string::npos ? 0 : last + 1);
+  double value = 0;
+  const char* const end = text.data() + text.size();
+  const auto [stop, error] =
+      std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  const bool is_sound = error == std::errc() && stop == end &&
+                        std::isfinite(value) && !std::signbit(value);
+  return is_sound ? std::optional(value) : std::nullopt;
+}
+
+}  // namespace
+
+ServerNotice ReadServerNotice(const HttpResponse& answer,
+                              const ProxyNames& names) {
+  ServerNotice notice;
+  for (const auto& [name, value] : answer.m_headers) {
+    if (name != names.m_rate_limit) {
+      continue;
+    }
+    const auto limit = ParseDecimal(value);
+    notice.m_is_malformed |= !limit;
+    if (limit &&
+        (!notice.m_most_per_second || *limit < *notice.m_most_per_second)) {
+      notice.m_most_per_second = limit;
+    }
+  }
+  return notice;
+}
+
+}  // namespace sorrelplank
--- a/src/steer/attempt_report_type.h
+++ b/src/steer/attempt_report_type.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "core/time_type.h"
+#include "steer/server_notice_type.h"
 
 namespace sorrelplank {
 
@@ -41,6 +42,8 @@
 struct AttemptReport {
   AttemptEnd m_end = AttemptEnd::kLost;
   std::optional<ReportedLoad> m_load;
+  /// Absent where no answer of the server itself came.
+  std::optional<ServerNotice> m_notice;
   /// It is known that the server's run ended before the send did.
   bool m_server_ended = false;
   /// From the first byte sent to the last one received.
--- /dev/null
+++ b/src/steer/server_notices.cc
@@ -0,0 +1,31 @@
+/// @file server_notices.cc Beginnings and ends of what is asked.
+
+#include "steer/server_notices.h"
+
+#include "steer/server_notice_type.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Answers on several connections may overtake each other by less than this.
+/// One without the field that comes so soon behind one with it may be older,
+/// and ends nothing.
+constexpr Duration kLimitOutlives = seconds(1);
+
+}  // namespace
+
+void ServerNotices::Take(const ServerNotice& notice, TimePoint now) {
+  m_was_malformed |= notice.m_is_malformed;
+  if (notice.m_most_per_second) {
+    m_most_per_second = notice.m_most_per_second;
+    m_limit_named = now;
+    return;
+  }
+  const bool says_none = !notice.m_is_malformed;
+  if (says_none && now - m_limit_named >= kLimitOutlives) {
+    m_most_per_second.reset();
+  }
+}
+
+}  // namespace sorrelplank
--- /dev/null
+++ b/src/steer/server_notices.h
@@ -0,0 +1,33 @@
+/// @file server_notices.h What a run of a backend server asks of its callers.
+
+#ifndef SORRELPLANK_STEER_SERVER_NOTICES_H_
+#define SORRELPLANK_STEER_SERVER_NOTICES_H_
+
+#include <optional>
+
+#include "core/time_type.h"
+
+namespace sorrelplank {
+
+struct ServerNotice;
+
+/// What is in force of all that the run's answers asked for.
+class ServerNotices {
+ public:
+  /// An answer came.
+  void Take(const ServerNotice& notice, TimePoint now);
+
+  /// Requests a second that it takes from all entry VMs together.
+  std::optional<double> MostPerSecond() const { return m_most_per_second; }
+  /// Whether any answer of the run had a field that cannot be read.
+  bool WasMalformed() const { return m_was_malformed; }
+
+ private:
+  std::optional<double> m_most_per_second;
+  TimePoint m_limit_named{};
+  bool m_was_malformed = false;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_SERVER_NOTICES_H_
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -109,6 +109,9 @@
     m_untold = report.m_load;
     m_untold_at = now;
   }
+  if (report.m_notice) {
+    m_notices.Take(*report.m_notice, now);
+  }
   if (report.m_end == AttemptEnd::kRejected) {
     CountRejection(report, now);
     return;
--- a/src/steer/server_track.h
+++ b/src/steer/server_track.h
@@ -14,6 +14,7 @@
 #include "steer/quantile_track.h"
 #include "steer/server_entry_type.h"
 #include "steer/server_load_type.h"
+#include "steer/server_notices.h"
 #include "steer/usual_service_type.h"
 
 namespace sorrelplank {
@@ -38,6 +39,9 @@
   void CountEnd(const AttemptReport& report, TimePoint now);
   void CountCancel() { --m_own; }
 
+  /// What its run asks of its callers.
+  const ServerNotices& Notices() const { return m_notices; }
+
   /// Takes a report of the server's load if it is the newest, also one that
   /// another entry VM received.
   void TakeReport(const ReportedLoad& load, Duration age, TimePoint now);
@@ -112,6 +116,7 @@
   TimePoint m_cold_until{};
   TimePoint m_last_end{};
   bool m_gone = false;
+  ServerNotices m_notices;
   RateWindow m_limited_sends;
   std::unordered_map<uint64_t, TimePoint> m_objects;
 };
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -102,7 +102,9 @@
                         TimePoint now) {
   const UsualService usual = Service(server.Entry().m_service).Usual();
   const uint32_t failures = server.FailuresInRow();
+  const ServerNotices notices = server.Notices();
   server.CountEnd(report, now);
+  TellNotices(server, notices);
   const std::string& instance = server.Entry().m_instance;
   if (server.FailuresInRow() > failures && server.IsResting(now, usual)) {
     m_sink(BeliefChanged{"server_rests", instance,
@@ -114,6 +116,20 @@
   CountReach(server, report.m_end, now);
 }
 
+void Steering::TellNotices(const ServerTrack& server,
+                           const ServerNotices& before) {
+  const std::string& instance = server.Entry().m_instance;
+  const ServerNotices& now = server.Notices();
+  if (now.MostPerSecond() != before.MostPerSecond()) {
+    m_sink(
+        BeliefChanged{now.MostPerSecond() ? "server_limit" : "server_unlimited",
+                      instance, now.MostPerSecond().value_or(0)});
+  }
+  if (now.WasMalformed() && !before.WasMalformed()) {
+    m_sink(BeliefChanged{"server_notice_malformed", instance, 0});
+  }
+}
+
 void Steering::CountReach(const ServerTrack& server,
                           AttemptEnd end,
                           TimePoint now) {
--- /dev/null
+++ b/tests/server_notice_test.cc
@@ -0,0 +1,98 @@
+/// @file server_notice_test.cc What backend servers ask of their callers.
+
+#include <criterion/criterion.h>
+
+#include "net/http_message_type.h"
+#include "proxy/proxy_names_type.h"
+#include "proxy/reply_judge_func.h"
+#include "proxy/server_notice_func.h"
+#include "proxy/server_reply_type.h"
+#include "steer/server_notices.h"
+
+namespace sorrelplank {
+namespace {
+
+struct NoticeFixture {
+  ProxyNames m_names;
+  HttpResponse m_answer;
+  ServerNotices m_notices;
+  TimePoint m_now{seconds(100)};
+
+  NoticeFixture() { m_names.m_rate_limit = "limit"; }
+
+  ServerNotice Read() const { return ReadServerNotice(m_answer, m_names); }
+  void AddLimit(const char* text) {
+    m_answer.m_headers.emplace_back("limit", text);
+  }
+  void TakeLimit(std::optional<double> limit) {
+    m_notices.Take({.m_most_per_second = limit}, m_now);
+  }
+};
+
+Test(ServerNotice, LimitIsADecimal_Read_IsTaken) {
+  for (const auto& [text, limit] :
+       {std::pair("1.7", 1.7), std::pair("0", 0.0), std::pair("250 ", 250.0)}) {
+    NoticeFixture fixture;
+    fixture.AddLimit(text);
+    cr_assert_eq(fixture.Read().m_most_per_second.value_or(-1), limit);
+    cr_assert(!fixture.Read().m_is_malformed);
+  }
+}
+
+// Guards against a limit made of what is no number of requests.
+Test(ServerNotice, LimitIsNoDecimal_Read_AsksForNothing) {
+  for (const char* text : {"", " ", "-1", "-0", "nan", "inf", "1e3", "3,4",
+                           "Thu, 03 Dec 2026 09:00:00 GMT"}) {
+    NoticeFixture fixture;
+    fixture.AddLimit(text);
+    cr_assert(!fixture.Read().m_most_per_second, "%s", text);
+    cr_assert(fixture.Read().m_is_malformed, "%s", text);
+  }
+}
+
+Test(ServerNotice, TwoLimitsInOneAnswer_Read_TheStricterCounts) {
+  NoticeFixture fixture;
+  fixture.AddLimit("9");
+  fixture.AddLimit("2.5");
+  cr_assert_eq(fixture.Read().m_most_per_second, 2.5);
+}
+
+// Guards against taking the word of another server at the address.
+Test(ServerNotice, AnswerOfAnotherInstance_Judged_HasNoNotice) {
+  NoticeFixture fixture;
+  fixture.AddLimit("1");
+  ServerReply reply;
+  reply.m_end = ReplyEnd::kWhole;
+  reply.m_response = fixture.m_answer;
+  reply.m_response.m_status = 421;
+  cr_assert(!JudgeReply(reply, fixture.m_names).m_notice);
+}
+
+Test(ServerNotice, LimitNoLongerNamed_LaterAnswer_EndsIt) {
+  NoticeFixture fixture;
+  fixture.TakeLimit(3);
+  fixture.m_now += seconds(2);
+  fixture.TakeLimit(std::nullopt);
+  cr_assert(!fixture.m_notices.MostPerSecond());
+}
+
+// Guards against an older answer on another connection that ends a limit.
+Test(ServerNotice, LimitNamedAMomentAgo_AnswerWithout_KeepsIt) {
+  NoticeFixture fixture;
+  fixture.TakeLimit(3);
+  fixture.m_now += milliseconds(200);
+  fixture.TakeLimit(std::nullopt);
+  cr_assert_eq(fixture.m_notices.MostPerSecond(), 3);
+}
+
+Test(ServerNotice, LimitUnreadable_KnownLimit_Stays) {
+  NoticeFixture fixture;
+  fixture.TakeLimit(3);
+  fixture.m_now += seconds(2);
+  fixture.m_notices.Take({.m_is_malformed = true}, fixture.m_now);
+  cr_assert_eq(fixture.m_notices.MostPerSecond(), 3);
+  cr_assert(fixture.m_notices.WasMalformed());
+}
+
+}  // namespace
+}  // namespace sorrelplank
