Tell quotas by their subject instead of by an organisation

No change of what anything does. The gate, the keepers and their messages took an organisation and used of it a hash, a rate and a burst. They take these three now (QuotaSubject, QuotaTerms), so that something else than an organisation can have a quota: a backend server that names a limit is next.

--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -135,9 +135,12 @@
     const auto at = static_cast<size_t>(round) * 31 % kOrganisations;
     const TimePoint now = began + Duration(round * 10);
     const Organisation& organisation = table.m_organisations->at(at);
-    gate.Arrived(RequestId(static_cast<uint64_t>(round)), organisation, now);
+    gate.Arrived(RequestId(static_cast<uint64_t>(round)),
+                 HashOrganisation(organisation.m_name), TermsOf(organisation),
+                 now);
     for (const QuotaQuestion& question : gate.TakeQuestions()) {
-      gate.TakeGrant(keeper.Grant(question.m_ask, organisation, 1, now), now);
+      gate.TakeGrant(
+          keeper.Grant(question.m_ask, TermsOf(organisation), 1, now), now);
     }
   });
   ReportBench("quota_decision_of_10000_organisations", decision, "ns", 1000);
--- a/src/core/ids.cc
+++ b/src/core/ids.cc
@@ -10,8 +10,8 @@
   return NameHash(static_cast<uint32_t>(XXH3_64bits(name.data(), name.size())));
 }
 
-OrganisationHash HashOrganisation(const std::string& name) {
-  return OrganisationHash(XXH3_64bits(name.data(), name.size()));
+QuotaSubject HashOrganisation(const std::string& name) {
+  return QuotaSubject(XXH3_64bits(name.data(), name.size()));
 }
 
 }  // namespace sorrelplank
--- a/src/core/ids_type.h
+++ b/src/core/ids_type.h
@@ -35,15 +35,16 @@
 /// Hash of service, idempotency key and request content.
 using KeyHash = StrongType<struct KeyHashTag, uint64_t>;
 
-/// Hash of an organisation's name; the same in every process.
-using OrganisationHash = StrongType<struct OrganisationHashTag, uint64_t>;
+/// Hash of what a quota is for, such as an organisation's name; the same in
+/// every process.
+using QuotaSubject = StrongType<struct QuotaSubjectTag, uint64_t>;
 
 /// Name of an entry VM; unique in the whole system.
 using VmName = std::string;
 
 /// Hash of a configured name.
 NameHash HashName(const std::string& name);
-OrganisationHash HashOrganisation(const std::string& name);
+QuotaSubject HashOrganisation(const std::string& name);
 
 }  // namespace sorrelplank
 
--- a/src/proxy/quota_exchange.cc
+++ b/src/proxy/quota_exchange.cc
@@ -16,14 +16,14 @@
 
 void Fill(const QuotaAsk& ask, proto::QuotaMessage& message) {
   proto::QuotaQuestion& question = *message.mutable_question();
-  question.set_organisation(ask.m_organisation.Get());
+  question.set_organisation(ask.m_subject.Get());
   question.set_number(ask.m_number);
   question.set_tokens(ask.m_tokens);
 }
 
 void Fill(const QuotaGrant& grant, proto::QuotaMessage& message) {
   proto::QuotaAnswer& answer = *message.mutable_answer();
-  answer.set_organisation(grant.m_organisation.Get());
+  answer.set_organisation(grant.m_subject.Get());
   answer.set_number(grant.m_number);
   answer.set_tokens(grant.m_tokens);
   answer.set_is_keeper(grant.m_is_keeper);
@@ -50,7 +50,7 @@
     if (question.tokens() > kMostTokens) {
       return std::nullopt;
     }
-    return QuotaAsk{.m_organisation = OrganisationHash(question.organisation()),
+    return QuotaAsk{.m_subject = QuotaSubject(question.organisation()),
                     .m_number = question.number(),
                     .m_tokens = question.tokens()};
   }
@@ -58,7 +58,7 @@
   if (!message.has_answer() || answer.tokens() > kMostTokens) {
     return std::nullopt;
   }
-  return QuotaGrant{.m_organisation = OrganisationHash(answer.organisation()),
+  return QuotaGrant{.m_subject = QuotaSubject(answer.organisation()),
                     .m_number = answer.number(),
                     .m_tokens = answer.tokens(),
                     .m_is_keeper = answer.is_keeper(),
--- a/src/steer/organisation_index.cc
+++ b/src/steer/organisation_index.cc
@@ -18,7 +18,7 @@
   }
 }
 
-const Organisation* OrganisationIndex::FindByName(OrganisationHash name) const {
+const Organisation* OrganisationIndex::FindByName(QuotaSubject name) const {
   const auto it = m_by_name.find(name);
   return it == m_by_name.end() ? nullptr : it->second;
 }
--- a/src/steer/organisation_index.h
+++ b/src/steer/organisation_index.h
@@ -21,11 +21,11 @@
 
   /// The organisation that holds the key, or nullptr.
   const Organisation* Find(const std::string& key) const;
-  const Organisation* FindByName(OrganisationHash name) const;
+  const Organisation* FindByName(QuotaSubject name) const;
 
  private:
   std::unordered_map<std::string, const Organisation*> m_by_key;
-  std::unordered_map<OrganisationHash, const Organisation*> m_by_name;
+  std::unordered_map<QuotaSubject, const Organisation*> m_by_name;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/organisation_type.h
+++ b/src/steer/organisation_type.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "steer/quota_terms_type.h"
+
 namespace sorrelplank {
 
 /// What a caller's key stands for.
@@ -29,6 +31,10 @@
   return organisation != nullptr && organisation->m_rate_per_second > 0;
 }
 
+inline QuotaTerms TermsOf(const Organisation& organisation) {
+  return {organisation.m_rate_per_second, organisation.m_burst};
+}
+
 /// The name, or nothing for nullptr.
 inline std::string NameOf(const Organisation* organisation) {
   return organisation == nullptr ? std::string() : organisation->m_name;
--- a/src/steer/quota_bounds_type.h
+++ b/src/steer/quota_bounds_type.h
@@ -7,7 +7,7 @@
 
 namespace sorrelplank {
 
-/// In any window an organisation may run its rate x window + burst, more by the
+/// In any window rate x window + burst requests may run, more by the
 /// excess and the slack: (rate x window + burst) x (1 + excess) + slack.
 struct QuotaBounds {
   Duration m_window = seconds(5);
--- a/src/steer/quota_directory.cc
+++ b/src/steer/quota_directory.cc
@@ -17,18 +17,17 @@
   }
 }
 
-const std::string& QuotaDirectory::KeeperIn(
-    const std::string& region,
-    OrganisationHash organisation) const {
+const std::string& QuotaDirectory::KeeperIn(const std::string& region,
+                                            QuotaSubject subject) const {
   static const std::string none;
   const auto vms = m_vms_by_region.find(region);
   if (vms == m_vms_by_region.end()) {
     return none;
   }
-  std::string& keeper = m_found[region][organisation];
+  std::string& keeper = m_found[region][subject];
   if (keeper.empty()) {
-    const auto weight = [organisation](const std::string& vm) {
-      return XXH3_64bits_withSeed(vm.data(), vm.size(), organisation.Get());
+    const auto weight = [subject](const std::string& vm) {
+      return XXH3_64bits_withSeed(vm.data(), vm.size(), subject.Get());
     };
     keeper = *std::max_element(
         vms->second.begin(), vms->second.end(),
--- a/src/steer/quota_directory.h
+++ b/src/steer/quota_directory.h
@@ -13,11 +13,11 @@
 
 namespace sorrelplank {
 
-/// One keeper a region for each organisation, by highest random weight: entry
+/// One keeper a region for each quota, by highest random weight: entry
 /// VMs with the same fleet agree without a message, and a VM that comes or goes
-/// moves only its own organisations.
+/// moves only its own quotas.
 ///
-/// One for all regions was weighed: its loss stops an organisation everywhere,
+/// One for all regions was weighed: its loss stops a quota everywhere,
 /// and two thirds of the questions cross regions.
 class QuotaDirectory {
  public:
@@ -25,10 +25,10 @@
 
   /// Name of the keeper's VM; empty for a region without VMs.
   const std::string& KeeperIn(const std::string& region,
-                              OrganisationHash organisation) const;
+                              QuotaSubject subject) const;
 
  private:
-  using Keepers = std::unordered_map<OrganisationHash, std::string>;
+  using Keepers = std::unordered_map<QuotaSubject, std::string>;
 
   std::map<std::string, std::vector<std::string>> m_vms_by_region;
   /// Found so far, by region.
--- a/src/steer/quota_gate.cc
+++ b/src/steer/quota_gate.cc
@@ -44,19 +44,19 @@
 }
 
 QuotaVerdict QuotaGate::Arrived(RequestId request,
-                                const Organisation& organisation,
+                                QuotaSubject subject,
+                                const QuotaTerms& terms,
                                 TimePoint now) {
-  const OrganisationHash hash = HashOrganisation(organisation.m_name);
-  Account& account = m_accounts[hash];
+  Account& account = m_accounts[subject];
   CountArrival(account, now);
-  const QuotaPart alone = PartOutOfReach(organisation, m_bounds, m_vms);
+  const QuotaPart alone = PartOutOfReach(terms, m_bounds, m_vms);
   if (account.m_alone) {
     account.m_alone->SetPart(alone, now);
   }
   if (TakeToken(account, now)) {
     const bool runs_low = account.m_tokens * 2 < TokensAhead(account);
     if (runs_low && !account.m_open && now >= account.m_refused_until) {
-      Ask(hash, account, 0, false, now);
+      Ask(subject, account, 0, false, now);
     }
     return QuotaVerdict::kPass;
   }
@@ -64,7 +64,7 @@
     return VerdictWithoutToken(account, now);
   }
   // Where no keeper answered lately, requests do not wait for one that might.
-  const bool is_asked = account.m_open || Ask(hash, account, 0, false, now);
+  const bool is_asked = account.m_open || Ask(subject, account, 0, false, now);
   account.m_was_reached &= is_asked;
   if (account.m_was_reached) {
     account.m_waiting.push_back(request);
@@ -76,15 +76,15 @@
   return VerdictWithoutToken(account, now);
 }
 
-void QuotaGate::Left(RequestId request, const std::string& organisation) {
-  const auto account = m_accounts.find(HashOrganisation(organisation));
+void QuotaGate::Left(RequestId request, QuotaSubject subject) {
+  const auto account = m_accounts.find(subject);
   if (account != m_accounts.end()) {
     account->second.m_waiting.remove(request);
   }
 }
 
-void QuotaGate::Return(const std::string& organisation, TimePoint now) {
-  const auto it = m_accounts.find(HashOrganisation(organisation));
+void QuotaGate::Return(QuotaSubject subject, TimePoint now) {
+  const auto it = m_accounts.find(subject);
   if (it == m_accounts.end()) {
     return;
   }
@@ -103,7 +103,7 @@
 std::vector<QuotaOutcome> QuotaGate::TakeGrant(const QuotaGrant& grant,
                                                TimePoint now) {
   std::vector<QuotaOutcome> outcomes;
-  const auto it = m_accounts.find(grant.m_organisation);
+  const auto it = m_accounts.find(grant.m_subject);
   if (it == m_accounts.end()) {
     return outcomes;
   }
@@ -127,7 +127,7 @@
     const bool is_short = grant.m_tokens < open.m_tokens;
     open.m_region += is_short ? 1 : 0;
     if (is_short || !account.m_waiting.empty()) {
-      AskNext(grant.m_organisation, account, open, now, outcomes);
+      AskNext(grant.m_subject, account, open, now, outcomes);
     }
     return outcomes;
   }
@@ -140,7 +140,7 @@
   while (!m_asked.empty() && now - m_asked.front().m_at >= kAnswerTimeout) {
     const Asked asked = m_asked.front();
     m_asked.pop_front();
-    const auto it = m_accounts.find(asked.m_organisation);
+    const auto it = m_accounts.find(asked.m_subject);
     const bool is_silent = it != m_accounts.end() && it->second.m_open &&
                            it->second.m_open->m_number == asked.m_number;
     if (!is_silent) {
@@ -150,7 +150,7 @@
     Open open = *std::exchange(account.m_open, std::nullopt);
     m_silent[open.m_keeper] = now + kSilence;
     ++open.m_region;
-    AskNext(asked.m_organisation, account, open, now, outcomes);
+    AskNext(asked.m_subject, account, open, now, outcomes);
   }
   std::erase_if(m_silent, [now](const auto& one) { return now >= one.second; });
   ForgetUnused(now);
@@ -168,8 +168,8 @@
   });
 }
 
-Duration QuotaGate::ComeBackAfter(const std::string& organisation) const {
-  const auto it = m_accounts.find(HashOrganisation(organisation));
+Duration QuotaGate::ComeBackAfter(QuotaSubject subject) const {
+  const auto it = m_accounts.find(subject);
   const bool is_known = it != m_accounts.end() && it->second.m_was_reached;
   return is_known ? it->second.m_wait : kOutOfReachWait;
 }
@@ -202,22 +202,22 @@
   return true;
 }
 
-bool QuotaGate::Ask(OrganisationHash organisation,
+bool QuotaGate::Ask(QuotaSubject subject,
                     Account& account,
                     size_t region,
                     bool was_reached,
                     TimePoint now) {
   for (; region < m_regions.size(); ++region) {
     const std::string& keeper =
-        m_directory.KeeperIn(m_regions[region], organisation);
+        m_directory.KeeperIn(m_regions[region], subject);
     if (keeper.empty() || m_silent.contains(keeper)) {
       continue;
     }
     const auto wanted = static_cast<uint32_t>(
         std::max<size_t>(1, account.m_waiting.size()) + TokensAhead(account));
     account.m_open = Open{m_next_number, wanted, keeper, region, was_reached};
-    m_asked.push_back({organisation, m_next_number, now});
-    m_questions.push_back({keeper, {organisation, m_next_number, wanted}});
+    m_asked.push_back({subject, m_next_number, now});
+    m_questions.push_back({keeper, {subject, m_next_number, wanted}});
     ++m_next_number;
     return true;
   }
@@ -233,13 +233,13 @@
   }
 }
 
-void QuotaGate::AskNext(OrganisationHash organisation,
+void QuotaGate::AskNext(QuotaSubject subject,
                         Account& account,
                         const Open& before,
                         TimePoint now,
                         std::vector<QuotaOutcome>& outcomes) {
   const bool is_asked =
-      Ask(organisation, account, before.m_region, before.m_was_reached, now);
+      Ask(subject, account, before.m_region, before.m_was_reached, now);
   if (!is_asked) {
     account.m_was_reached = before.m_was_reached;
     RefuseWaiting(account, now, outcomes);
--- a/src/steer/quota_gate.h
+++ b/src/steer/quota_gate.h
@@ -1,4 +1,4 @@
-/// @file quota_gate.h Which requests an organisation's quota lets pass.
+/// @file quota_gate.h Which requests a quota lets pass.
 
 #ifndef SORRELPLANK_STEER_QUOTA_GATE_H_
 #define SORRELPLANK_STEER_QUOTA_GATE_H_
@@ -15,11 +15,11 @@
 
 #include "core/ids_type.h"
 #include "core/time_type.h"
-#include "steer/organisation_type.h"
 #include "steer/quota_bounds_type.h"
 #include "steer/quota_bucket.h"
 #include "steer/quota_directory.h"
 #include "steer/quota_message_type.h"
+#include "steer/quota_terms_type.h"
 
 namespace sorrelplank {
 
@@ -27,7 +27,7 @@
 enum class QuotaVerdict : uint8_t {
   kPass,        ///< It has a token.
   kWait,        ///< A keeper was asked.
-  kOver,        ///< The organisation is over its limit.
+  kOver,        ///< The quota is used up.
   kOutOfReach,  ///< No keeper is within reach.
 };
 
@@ -39,12 +39,11 @@
 
 /// Tokens of one entry VM.
 ///
-/// Each request of an organisation with a limit takes a token. Where this VM
+/// Each request that a quota counts takes a token. Where this VM
 /// has none it asks the keeper of its own region, and those of the other
 /// regions where that one has none left or is silent. Tokens for the next
 /// requests are asked for along with it, as many as usually come within the
-/// time that they are kept; so an organisation with many requests here seldom
-/// waits.
+/// time that they are kept; so where many requests come they seldom wait.
 class QuotaGate {
  public:
   /// Regions in the order in which they are asked; the own one first.
@@ -53,17 +52,18 @@
   void SetBounds(const QuotaBounds& bounds) { m_bounds = bounds; }
   void SetFleet(const std::vector<FleetMember>& fleet);
   const QuotaDirectory& Directory() const { return m_directory; }
-  /// Keepers of one organisation.
+  /// Keepers of one quota.
   size_t KeeperCount() const { return m_regions.size(); }
 
-  /// A request of an organisation with a limit.
+  /// A request for which a quota needs a token.
   QuotaVerdict Arrived(RequestId request,
-                       const Organisation& organisation,
+                       QuotaSubject subject,
+                       const QuotaTerms& terms,
                        TimePoint now);
   /// A request that waits is given up.
-  void Left(RequestId request, const std::string& organisation);
+  void Left(RequestId request, QuotaSubject subject);
   /// A request that took a token will not run.
-  void Return(const std::string& organisation, TimePoint now);
+  void Return(QuotaSubject subject, TimePoint now);
 
   /// What to ask now.
   std::vector<QuotaQuestion> TakeQuestions();
@@ -73,7 +73,7 @@
   std::vector<QuotaOutcome> Tick(TimePoint now);
 
   /// When requests that were refused may come back.
-  Duration ComeBackAfter(const std::string& organisation) const;
+  Duration ComeBackAfter(QuotaSubject subject) const;
 
   size_t WaitingCount() const;
 
@@ -91,12 +91,12 @@
 
   /// When a question was asked.
   struct Asked {
-    OrganisationHash m_organisation;
+    QuotaSubject m_subject;
     uint64_t m_number = 0;
     TimePoint m_at;
   };
 
-  /// What it knows of one organisation.
+  /// What it knows of one quota.
   struct Account {
     uint32_t m_tokens = 0;
     TimePoint m_tokens_end;
@@ -119,7 +119,7 @@
   uint32_t TokensAhead(const Account& account) const;
   bool TakeToken(Account& account, TimePoint now) const;
   /// Asks the next keeper within reach, from this region on; false without one.
-  bool Ask(OrganisationHash organisation,
+  bool Ask(QuotaSubject subject,
            Account& account,
            size_t region,
            bool was_reached,
@@ -132,7 +132,7 @@
                     TimePoint now,
                     std::vector<QuotaOutcome>& outcomes) const;
   /// Goes on after a keeper that had too little or stayed silent.
-  void AskNext(OrganisationHash organisation,
+  void AskNext(QuotaSubject subject,
                Account& account,
                const Open& before,
                TimePoint now,
@@ -144,7 +144,7 @@
   QuotaBounds m_bounds;
   QuotaDirectory m_directory;
   size_t m_vms = 1;
-  std::unordered_map<OrganisationHash, Account> m_accounts;
+  std::unordered_map<QuotaSubject, Account> m_accounts;
   std::vector<QuotaQuestion> m_questions;
   /// In the order of asking.
   std::deque<Asked> m_asked;
--- a/src/steer/quota_keeper.cc
+++ b/src/steer/quota_keeper.cc
@@ -1,11 +1,11 @@
-/// @file quota_keeper.cc Buckets by organisation.
+/// @file quota_keeper.cc Buckets by what the quotas are for.
 
 #include "steer/quota_keeper.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "steer/organisation_type.h"
+#include "steer/quota_terms_type.h"
 
 namespace sorrelplank {
 
@@ -29,20 +29,20 @@
 QuotaKeeper::Kept& QuotaKeeper::KeptOf(const QuotaAsk& ask,
                                        const QuotaPart& part,
                                        TimePoint now) {
-  const auto it = m_kept.find(ask.m_organisation);
+  const auto it = m_kept.find(ask.m_subject);
   if (it == m_kept.end()) {
     const Kept fresh{QuotaBucket(part, std::min(now, m_keeps_since)), now, 0};
-    return m_kept.emplace(ask.m_organisation, fresh).first->second;
+    return m_kept.emplace(ask.m_subject, fresh).first->second;
   }
   it->second.m_bucket.SetPart(part, now);
   return it->second;
 }
 
 QuotaGrant QuotaKeeper::Grant(const QuotaAsk& ask,
-                              const Organisation& organisation,
+                              const QuotaTerms& terms,
                               size_t keepers,
                               TimePoint now) {
-  const QuotaPart part = PartOfKeeper(organisation, m_bounds, keepers);
+  const QuotaPart part = PartOfKeeper(terms, m_bounds, keepers);
   Kept& kept = KeptOf(ask, part, now);
   kept.m_refused *= FadeOver(now - kept.m_asked);
   kept.m_asked = now;
@@ -51,7 +51,7 @@
   const auto wait =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
           kept.m_refused / std::max(part.m_rate, 0.001)));
-  return {.m_organisation = ask.m_organisation,
+  return {.m_subject = ask.m_subject,
           .m_number = ask.m_number,
           .m_tokens = granted,
           .m_is_keeper = true,
--- a/src/steer/quota_keeper.h
+++ b/src/steer/quota_keeper.h
@@ -1,4 +1,4 @@
-/// @file quota_keeper.h Grants the tokens of organisations' quotas.
+/// @file quota_keeper.h Grants the tokens of quotas.
 
 #ifndef SORRELPLANK_STEER_QUOTA_KEEPER_H_
 #define SORRELPLANK_STEER_QUOTA_KEEPER_H_
@@ -14,7 +14,7 @@
 
 namespace sorrelplank {
 
-struct Organisation;
+struct QuotaTerms;
 
 /// The part of the quotas that this entry VM keeps.
 ///
@@ -25,24 +25,24 @@
  public:
   void SetBounds(const QuotaBounds& bounds) { m_bounds = bounds; }
 
-  /// Other VMs may have kept quotas until now. An organisation that is asked
+  /// Other VMs may have kept quotas until now. A quota that is asked
   /// for the first time has gained tokens from here on.
   void FleetChanged(TimePoint now) { m_keeps_since = now + kSettling; }
 
-  /// Answers a question on an organisation with a limit, one of so many
+  /// Answers a question on a quota, one of so many
   /// keepers of it.
   QuotaGrant Grant(const QuotaAsk& ask,
-                   const Organisation& organisation,
+                   const QuotaTerms& terms,
                    size_t keepers,
                    TimePoint now);
 
-  /// Forgets organisations that nobody asked for lately.
+  /// Forgets quotas that nobody asked for lately.
   void ForgetUnused(TimePoint now);
 
   size_t Count() const { return m_kept.size(); }
 
  private:
-  /// What it knows of one organisation.
+  /// What it knows of one quota.
   struct Kept {
     QuotaBucket m_bucket;
     TimePoint m_asked;
@@ -57,7 +57,7 @@
 
   QuotaBounds m_bounds;
   TimePoint m_keeps_since{};
-  std::unordered_map<OrganisationHash, Kept> m_kept;
+  std::unordered_map<QuotaSubject, Kept> m_kept;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/quota_message_type.h
+++ b/src/steer/quota_message_type.h
@@ -11,10 +11,10 @@
 
 namespace sorrelplank {
 
-/// An entry VM asks the keeper of an organisation's quota for tokens. One token
+/// An entry VM asks the keeper of a quota for tokens. One token
 /// lets one request run.
 struct QuotaAsk {
-  OrganisationHash m_organisation;
+  QuotaSubject m_subject;
   /// Tells the answers to one VM's questions apart.
   uint64_t m_number = 0;
   uint32_t m_tokens = 0;
@@ -29,7 +29,7 @@
 
 /// The keeper's answer.
 struct QuotaGrant {
-  OrganisationHash m_organisation;
+  QuotaSubject m_subject;
   uint64_t m_number = 0;
   uint32_t m_tokens = 0;
   /// False where the VM that was asked does not take itself for the keeper.
--- a/src/steer/quota_part.cc
+++ b/src/steer/quota_part.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "core/time_type.h"
-#include "steer/organisation_type.h"
 #include "steer/quota_part_func.h"
+#include "steer/quota_terms_type.h"
 
 namespace sorrelplank {
 
@@ -22,35 +22,33 @@
 }
 
 /// Requests in a window beyond rate and burst.
-double Tolerance(const Organisation& organisation, const QuotaBounds& bounds) {
+double Tolerance(const QuotaTerms& terms, const QuotaBounds& bounds) {
   const double in_window =
-      organisation.m_rate_per_second * SecondsOf(bounds.m_window) +
-      organisation.m_burst;
+      terms.m_rate_per_second * SecondsOf(bounds.m_window) + terms.m_burst;
   return bounds.m_excess * in_window + bounds.m_slack;
 }
 
 }  // namespace
 
-QuotaPart PartOfKeeper(const Organisation& organisation,
+QuotaPart PartOfKeeper(const QuotaTerms& terms,
                        const QuotaBounds& bounds,
                        size_t keepers) {
   const auto count = static_cast<double>(std::max<size_t>(1, keepers));
-  const double tolerance = Tolerance(organisation, bounds) / count;
-  const double capacity =
-      organisation.m_burst / count + tolerance * kBurstTolerance;
+  const double tolerance = Tolerance(terms, bounds) / count;
+  const double capacity = terms.m_burst / count + tolerance * kBurstTolerance;
   // A bucket that cannot hold one token would never grant any.
-  return {.m_rate = organisation.m_rate_per_second / count,
+  return {.m_rate = terms.m_rate_per_second / count,
           .m_capacity = std::max(1.0, capacity),
           .m_first = tolerance * kFirstTolerance};
 }
 
-QuotaPart PartOutOfReach(const Organisation& organisation,
+QuotaPart PartOutOfReach(const QuotaTerms& terms,
                          const QuotaBounds& bounds,
                          size_t vms) {
   const auto count = static_cast<double>(std::max<size_t>(1, vms));
   const double window = std::max(0.001, SecondsOf(bounds.m_window));
   const double in_window =
-      Tolerance(organisation, bounds) * kOutOfReachTolerance / count;
+      Tolerance(terms, bounds) * kOutOfReachTolerance / count;
   return {.m_rate = in_window / window, .m_capacity = 1, .m_first = 0};
 }
 
--- a/src/steer/quota_part_func.h
+++ b/src/steer/quota_part_func.h
@@ -1,4 +1,4 @@
-/// @file quota_part_func.h How an organisation's quota is divided.
+/// @file quota_part_func.h How a quota is divided.
 
 #ifndef SORRELPLANK_STEER_QUOTA_PART_FUNC_H_
 #define SORRELPLANK_STEER_QUOTA_PART_FUNC_H_
@@ -9,7 +9,7 @@
 
 namespace sorrelplank {
 
-struct Organisation;
+struct QuotaTerms;
 
 /// A token bucket: what it gains and holds.
 struct QuotaPart {
@@ -23,12 +23,12 @@
 
 /// The part of each keeper. The parts of all keepers stay within the limit in
 /// every window, with what is left of the tolerance for VMs out of reach.
-QuotaPart PartOfKeeper(const Organisation& organisation,
+QuotaPart PartOfKeeper(const QuotaTerms& terms,
                        const QuotaBounds& bounds,
                        size_t keepers);
 
 /// The part of each entry VM that reaches no keeper, of so many VMs.
-QuotaPart PartOutOfReach(const Organisation& organisation,
+QuotaPart PartOutOfReach(const QuotaTerms& terms,
                          const QuotaBounds& bounds,
                          size_t vms);
 
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -38,9 +38,9 @@
   const bool lacks_token = reason == SteerRefusal::kOverQuota ||
                            reason == SteerRefusal::kQuotaOutOfReach;
   if (lacks_token) {
-    refusal.m_retry_after =
-        Spread(m_quota_gate.ComeBackAfter(request.m_organisation->m_name),
-               refusal.m_request.Get());
+    refusal.m_retry_after = Spread(m_quota_gate.ComeBackAfter(HashOrganisation(
+                                       request.m_organisation->m_name)),
+                                   refusal.m_request.Get());
   }
   const bool promises_not_run =
       DescribeSteerRefusal(reason).m_verdict == Verdict::kNotRun;
--- a/src/steer/steering_quotas.cc
+++ b/src/steer/steering_quotas.cc
@@ -17,7 +17,8 @@
 void Steering::TakeToken(SteeredRequest& request, TimePoint now) {
   const RequestId id = request.m_facts.m_request;
   const QuotaVerdict verdict =
-      m_quota_gate.Arrived(id, *request.m_organisation, now);
+      m_quota_gate.Arrived(id, HashOrganisation(request.m_organisation->m_name),
+                           TermsOf(*request.m_organisation), now);
   request.m_awaits_token = verdict == QuotaVerdict::kWait;
   if (!request.m_awaits_token) {
     SettleQuota({{id, verdict}}, now);
@@ -37,21 +38,20 @@
 
 QuotaGrant Steering::AnswerQuotaAsk(const QuotaAsk& ask, TimePoint now) {
   QuotaGrant grant;
-  grant.m_organisation = ask.m_organisation;
+  grant.m_subject = ask.m_subject;
   grant.m_number = ask.m_number;
   const Organisation* organisation =
-      m_organisations ? m_organisations->FindByName(ask.m_organisation)
-                      : nullptr;
+      m_organisations ? m_organisations->FindByName(ask.m_subject) : nullptr;
   const bool is_keeper =
       HasLimit(organisation) &&
-      m_quota_gate.Directory().KeeperIn(m_settings.m_region,
-                                        ask.m_organisation) == m_settings.m_vm;
+      m_quota_gate.Directory().KeeperIn(m_settings.m_region, ask.m_subject) ==
+          m_settings.m_vm;
   if (!is_keeper) {
     return grant;
   }
   const size_t keepers =
       m_quota_gate.KeeperCount() * (m_may_be_replaced ? kPartsIfReplaced : 1);
-  return m_quota_keeper.Grant(ask, *organisation, keepers, now);
+  return m_quota_keeper.Grant(ask, TermsOf(*organisation), keepers, now);
 }
 
 void Steering::TakeQuotaGrant(const QuotaGrant& grant, TimePoint now) {
@@ -86,12 +86,13 @@
     return;
   }
   if (request.m_organisation != nullptr) {
-    m_quota_gate.Return(request.m_organisation->m_name, now);
+    m_quota_gate.Return(HashOrganisation(request.m_organisation->m_name), now);
   }
 }
 
 void Steering::StopAwaitingToken(SteeredRequest& request) {
-  m_quota_gate.Left(request.m_facts.m_request, request.m_organisation->m_name);
+  m_quota_gate.Left(request.m_facts.m_request,
+                    HashOrganisation(request.m_organisation->m_name));
   request.m_awaits_token = false;
 }
 
--- a/tests/quota_gate_test.cc
+++ b/tests/quota_gate_test.cc
@@ -28,13 +28,14 @@
   }
 
   QuotaVerdict Arrive() {
-    return m_gate.Arrived(RequestId(m_next++), m_organisation, m_now);
+    return m_gate.Arrived(RequestId(m_next++), HashOrganisation("acme"),
+                          TermsOf(m_organisation), m_now);
   }
 
   /// Answers the only question.
   std::vector<QuotaOutcome> Answer(const QuotaQuestion& question,
                                    uint32_t tokens) {
-    return m_gate.TakeGrant({.m_organisation = question.m_ask.m_organisation,
+    return m_gate.TakeGrant({.m_subject = question.m_ask.m_subject,
                              .m_number = question.m_ask.m_number,
                              .m_tokens = tokens,
                              .m_is_keeper = true,
@@ -104,7 +105,7 @@
   const auto outcomes =
       g_fixture->Answer(g_fixture->m_gate.TakeQuestions()[0], 0);
   cr_assert_eq(outcomes[0].m_verdict, QuotaVerdict::kOver);
-  cr_assert_eq(g_fixture->m_gate.ComeBackAfter("acme"),
+  cr_assert_eq(g_fixture->m_gate.ComeBackAfter(HashOrganisation("acme")),
                Duration(milliseconds(400)));
   cr_assert_eq(g_fixture->Arrive(), QuotaVerdict::kOver);
   cr_assert(g_fixture->m_gate.TakeQuestions().empty());
@@ -150,7 +151,7 @@
 Test(QuotaGate, RequestLeft_Token_GoesToTheNext) {
   g_fixture->Arrive();
   const auto questions = g_fixture->m_gate.TakeQuestions();
-  g_fixture->m_gate.Left(RequestId(1), "acme");
+  g_fixture->m_gate.Left(RequestId(1), HashOrganisation("acme"));
   cr_assert(g_fixture->Answer(questions[0], 1).empty());
   cr_assert_eq(g_fixture->Arrive(), QuotaVerdict::kPass);
 }
@@ -158,7 +159,7 @@
 Test(QuotaGate, RequestDidNotRun_Token_ServesAnother) {
   g_fixture->Arrive();
   g_fixture->Answer(g_fixture->m_gate.TakeQuestions()[0], 1);
-  g_fixture->m_gate.Return("acme", g_fixture->m_now);
+  g_fixture->m_gate.Return(HashOrganisation("acme"), g_fixture->m_now);
   cr_assert_eq(g_fixture->Arrive(), QuotaVerdict::kPass);
 }
 
@@ -169,8 +170,8 @@
     Organisation organisation = MakeOrganisation("acme", "k");
     organisation.m_rate_per_second = rate;
     organisation.m_burst = rate;
-    const QuotaPart keeper = PartOfKeeper(organisation, bounds, 3);
-    const QuotaPart alone = PartOutOfReach(organisation, bounds, 100);
+    const QuotaPart keeper = PartOfKeeper(TermsOf(organisation), bounds, 3);
+    const QuotaPart alone = PartOutOfReach(TermsOf(organisation), bounds, 100);
     const double most =
         3 * (keeper.m_rate * 5 + keeper.m_capacity) + 100 * alone.m_rate * 5;
     cr_assert_leq(most, (rate * 5 + rate) * 1.1 + 20, "rate %g", rate);
@@ -184,16 +185,16 @@
   Organisation organisation = MakeOrganisation("acme", "k");
   organisation.m_rate_per_second = 100;
   organisation.m_burst = 100;
-  const QuotaAsk one{.m_organisation = HashOrganisation("acme"), .m_tokens = 1};
+  const QuotaAsk one{.m_subject = HashOrganisation("acme"), .m_tokens = 1};
   TimePoint now(seconds(100));
   keeper.FleetChanged(now);
-  keeper.Grant(one, organisation, 1, now);
+  keeper.Grant(one, TermsOf(organisation), 1, now);
   now += seconds(10);
   organisation.m_rate_per_second = 2;
   organisation.m_burst = 2;
   QuotaAsk many = one;
   many.m_tokens = 50;
-  cr_assert_eq(keeper.Grant(many, organisation, 1, now).m_tokens, 2);
+  cr_assert_eq(keeper.Grant(many, TermsOf(organisation), 1, now).m_tokens, 2);
 }
 
 // Nobody asked for an organisation for long. Its burst is there at once.
@@ -204,23 +205,22 @@
   organisation.m_burst = 10;
   const TimePoint now(seconds(100));
   keeper.FleetChanged(now);
-  const QuotaAsk ask{.m_organisation = HashOrganisation("acme"), .m_tokens = 8};
-  cr_assert_eq(keeper.Grant(ask, organisation, 1, now + seconds(5)).m_tokens,
-               8);
+  const QuotaAsk ask{.m_subject = HashOrganisation("acme"), .m_tokens = 8};
+  cr_assert_eq(
+      keeper.Grant(ask, TermsOf(organisation), 1, now + seconds(5)).m_tokens,
+      8);
 }
 
 Test(QuotaMessages, Encoded_Decoded_AreTheSame) {
-  const std::string ask =
-      EncodeQuotaMessage(QuotaAsk{.m_organisation = HashOrganisation("acme"),
-                                  .m_number = 7,
-                                  .m_tokens = 3});
+  const std::string ask = EncodeQuotaMessage(QuotaAsk{
+      .m_subject = HashOrganisation("acme"), .m_number = 7, .m_tokens = 3});
   const auto read = DecodeQuotaMessage(ask.data(), ask.size());
-  cr_assert_eq(std::get<QuotaAsk>(*read).m_organisation,
+  cr_assert_eq(std::get<QuotaAsk>(*read).m_subject,
                HashOrganisation("acme"));
   cr_assert_eq(std::get<QuotaAsk>(*read).m_number, 7);
   cr_assert_eq(std::get<QuotaAsk>(*read).m_tokens, 3);
   const std::string grant =
-      EncodeQuotaMessage(QuotaGrant{.m_organisation = HashOrganisation("acme"),
+      EncodeQuotaMessage(QuotaGrant{.m_subject = HashOrganisation("acme"),
                                     .m_number = 7,
                                     .m_tokens = 2,
                                     .m_is_keeper = true,
@@ -319,7 +319,7 @@
   fixture.m_steering.ClientLeft(id, fixture.m_now);
   cr_assert_eq(fixture.m_steering.AwaitingTokens(), 0);
   const QuotaAsk ask = fixture.Last<AskForTokens>()->m_question.m_ask;
-  fixture.m_steering.TakeQuotaGrant({.m_organisation = ask.m_organisation,
+  fixture.m_steering.TakeQuotaGrant({.m_subject = ask.m_subject,
                                      .m_number = ask.m_number,
                                      .m_tokens = 1,
                                      .m_is_keeper = true},
@@ -331,7 +331,7 @@
 // keeper.
 Test(Quotas, NotTheKeeper_Ask_IsGrantedNothing) {
   LimitFixture fixture;
-  const QuotaAsk ask{.m_organisation = HashOrganisation("acme"), .m_tokens = 1};
+  const QuotaAsk ask{.m_subject = HashOrganisation("acme"), .m_tokens = 1};
   cr_assert(fixture.m_steering.AnswerQuotaAsk(ask, fixture.m_now).m_is_keeper);
   fixture.m_steering.SetFleet({{"vm-9", "10.0.0.9:80", "d1", "r1"}},
                               fixture.m_now);
--- a/trial/quota_world.cc
+++ b/trial/quota_world.cc
@@ -410,7 +410,8 @@
 }
 
 bool QuotaWorld::PassesEqualPart(size_t vm, const Client& client) {
-  QuotaPart part = PartOfKeeper(client.m_organisation, kBounds, m_vms.size());
+  QuotaPart part =
+      PartOfKeeper(TermsOf(client.m_organisation), kBounds, m_vms.size());
   part.m_first = 0;
   const auto it =
       m_vms[vm]
