Read the limit of a server under either spelling of its field

What callers would see: nothing; a limit named in a field with the prefix of the other fields would not be held.

--- a/src/proxy/proxy_names_type.h
+++ b/src/proxy/proxy_names_type.h
@@ -4,6 +4,7 @@
 #define SORRELPLANK_PROXY_PROXY_NAMES_TYPE_H_
 
 #include <string>
+#include <vector>
 
 namespace sorrelplank {
 
@@ -27,8 +28,9 @@
   std::string m_not_run;
   /// "RUNNING,WAITING,SLOTS" of the server.
   std::string m_load;
-  /// Requests a second that the server takes from all callers together.
-  std::string m_rate_limit;
+  /// Requests a second that the server takes from all callers together; any of
+  /// these names.
+  std::vector<std::string> m_rate_limit;
   /// The instance that answered.
   std::string m_instance;
 };
--- a/src/proxy/server_notice.cc
+++ b/src/proxy/server_notice.cc
@@ -1,9 +1,11 @@
 /// @file server_notice.cc Parsing of header fields.
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "net/http_message_type.h"
 #include "proxy/proxy_names_type.h"
@@ -26,13 +28,17 @@
   return is_sound ? std::optional(value) : std::nullopt;
 }
 
+bool IsOneOf(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 }  // namespace
 
 ServerNotice ReadServerNotice(const HttpResponse& answer,
                               const ProxyNames& names) {
   ServerNotice notice;
   for (const auto& [name, value] : answer.m_headers) {
-    if (name != names.m_rate_limit) {
+    if (!IsOneOf(names.m_rate_limit, name)) {
       continue;
     }
     const auto limit = ParseDecimal(value);
--- a/tests/server_notice_test.cc
+++ b/tests/server_notice_test.cc
@@ -18,7 +18,7 @@
   ServerNotices m_notices;
   TimePoint m_now{seconds(100)};
 
-  NoticeFixture() { m_names.m_rate_limit = "limit"; }
+  NoticeFixture() { m_names.m_rate_limit = {"limit", "other-limit"}; }
 
   ServerNotice Read() const { return ReadServerNotice(m_answer, m_names); }
   void AddLimit(const char* text) {
@@ -39,6 +39,13 @@
   }
 }
 
+// Guards against a limit that is passed over for the spelling of its field.
+Test(ServerNotice, LimitUnderItsOtherName_Read_IsTaken) {
+  NoticeFixture fixture;
+  fixture.m_answer.m_headers.emplace_back("other-limit", "2");
+  cr_assert_eq(fixture.Read().m_most_per_second, 2);
+}
+
 // Guards against a limit made of what is no number of requests.
 Test(ServerNotice, LimitIsNoDecimal_Read_AsksForNothing) {
   for (const char* text : {"", " ", "-1", "-0", "nan", "inf", "1e3", "3,4",
