Read that a backend server leaves from its answers, and tell it in the log

What callers saw: answers, until the server was gone. Logs told only what the store says of a server ("leaving":0 on all VMs, up to 13 s after the server had said in its answers that it leaves), so that they could not tell "not read" from "read and not kept to".

Change: the field is read and kept with the server's run, and a line tells it. Nothing decides by it yet.

--- a/src/proxy/proxy_names_type.h
+++ b/src/proxy/proxy_names_type.h
@@ -31,6 +31,8 @@
   /// Requests a second that the server takes from all callers together; any of
   /// these names.
   std::vector<std::string> m_rate_limit;
+  /// "1" where the server leaves; any of these names.
+  std::vector<std::string> m_leaving;
   /// The instance that answered.
   std::string m_instance;
 };
--- a/src/proxy/server_notice.cc
+++ b/src/proxy/server_notice.cc
@@ -32,20 +32,32 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+void ReadLimit(const std::string& value, ServerNotice& notice) {
+  const auto limit = ParseDecimal(value);
+  notice.m_is_malformed |= !limit;
+  if (!limit) {
+    return;
+  }
+  notice.m_most_per_second =
+      std::min(*limit, notice.m_most_per_second.value_or(*limit));
+}
+
+void ReadLeaving(const std::string& value, ServerNotice& notice) {
+  const auto flag = ParseDecimal(value);
+  notice.m_is_malformed |= flag != 0 && flag != 1;
+  notice.m_is_leaving |= flag == 1;
+}
+
 }  // namespace
 
 ServerNotice ReadServerNotice(const HttpResponse& answer,
                               const ProxyNames& names) {
   ServerNotice notice;
   for (const auto& [name, value] : answer.m_headers) {
-    if (!IsOneOf(names.m_rate_limit, name)) {
-      continue;
-    }
-    const auto limit = ParseDecimal(value);
-    notice.m_is_malformed |= !limit;
-    if (limit &&
-        (!notice.m_most_per_second || *limit < *notice.m_most_per_second)) {
-      notice.m_most_per_second = limit;
+    if (IsOneOf(names.m_rate_limit, name)) {
+      ReadLimit(value, notice);
+    } else if (IsOneOf(names.m_leaving, name)) {
+      ReadLeaving(value, notice);
     }
   }
   return notice;
--- a/src/steer/server_notice_type.h
+++ b/src/steer/server_notice_type.h
@@ -11,6 +11,8 @@
 struct ServerNotice {
   /// Requests a second that it takes from all entry VMs together.
   std::optional<double> m_most_per_second;
+  /// It leaves and wants no more requests.
+  bool m_is_leaving = false;
   /// A field that asks for something cannot be read.
   bool m_is_malformed = false;
 };
--- a/src/steer/server_notices.cc
+++ b/src/steer/server_notices.cc
@@ -17,6 +17,7 @@
 
 void ServerNotices::Take(const ServerNotice& notice, TimePoint now) {
   m_was_malformed |= notice.m_is_malformed;
+  m_is_leaving |= notice.m_is_leaving;
   if (notice.m_most_per_second) {
     m_most_per_second = notice.m_most_per_second;
     m_limit_named = now;
--- a/src/steer/server_notices.h
+++ b/src/steer/server_notices.h
@@ -21,13 +21,16 @@
   std::optional<double> MostPerSecond() const { return m_most_per_second; }
   /// When an answer last named that limit.
   TimePoint LimitNamed() const { return m_limit_named; }
-  bool IsAnyInForce() const { return m_most_per_second.has_value(); }
+  /// Whether it leaves; a run that said so does not come back.
+  bool IsLeaving() const { return m_is_leaving; }
+  bool IsAnyInForce() const { return m_most_per_second || m_is_leaving; }
   /// Whether any answer of the run had a field that cannot be read.
   bool WasMalformed() const { return m_was_malformed; }
 
  private:
   std::optional<double> m_most_per_second;
   TimePoint m_limit_named{};
+  bool m_is_leaving = false;
   bool m_was_malformed = false;
 };
 
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -126,6 +126,9 @@
         BeliefChanged{now.MostPerSecond() ? "server_limit" : "server_unlimited",
                       instance, now.MostPerSecond().value_or(0)});
   }
+  if (now.IsLeaving() && !before.IsLeaving()) {
+    m_sink(BeliefChanged{"server_says_leaving", instance, 1});
+  }
   if (now.WasMalformed() && !before.WasMalformed()) {
     m_sink(BeliefChanged{"server_notice_malformed", instance, 0});
   }
--- a/tests/server_notice_test.cc
+++ b/tests/server_notice_test.cc
@@ -18,7 +18,10 @@
   ServerNotices m_notices;
   TimePoint m_now{seconds(100)};
 
-  NoticeFixture() { m_names.m_rate_limit = {"limit", "other-limit"}; }
+  NoticeFixture() {
+    m_names.m_rate_limit = {"limit", "other-limit"};
+    m_names.m_leaving = {"leaving"};
+  }
 
   ServerNotice Read() const { return ReadServerNotice(m_answer, m_names); }
   void AddLimit(const char* text) {
@@ -64,6 +67,27 @@
   cr_assert_eq(fixture.Read().m_most_per_second, 2.5);
 }
 
+// Guards against a server that is given up for a field that says nothing.
+Test(ServerNotice, LeavingIsNotOne_Read_DoesNotLeave) {
+  for (const char* text : {"0", "", "no", "2", "-1"}) {
+    NoticeFixture fixture;
+    fixture.m_answer.m_headers.emplace_back("leaving", text);
+    cr_assert(!fixture.Read().m_is_leaving, "%s", text);
+  }
+  NoticeFixture fixture;
+  fixture.m_answer.m_headers.emplace_back("leaving", "1");
+  cr_assert(fixture.Read().m_is_leaving);
+}
+
+// Guards against an answer that was overtaken and takes the word back.
+Test(ServerNotice, SaidThatItLeaves_AnswerWithout_StillLeaves) {
+  NoticeFixture fixture;
+  fixture.m_notices.Take({.m_is_leaving = true}, fixture.m_now);
+  fixture.m_now += seconds(60);
+  fixture.m_notices.Take({}, fixture.m_now);
+  cr_assert(fixture.m_notices.IsLeaving());
+}
+
 // Guards against taking the word of another server at the address.
 Test(ServerNotice, AnswerOfAnotherInstance_Judged_HasNoNotice) {
   NoticeFixture fixture;
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -125,6 +125,46 @@
     m_steering.Ended(send.m_request, send.m_attempt, report, m_now);
   }
 
+  /// The server answers, and asks for something.
+  void EndWithNotice(const SendToServer& send,
+                     AttemptEnd end,
+                     const ServerNotice& notice) {
+    AttemptReport report;
+    report.m_end = end;
+    report.m_latency = milliseconds(100);
+    report.m_notice = notice;
+    m_steering.Ended(send.m_request, send.m_attempt, report, m_now);
+  }
+
+  /// Requests on different objects arrive one after the other, 20 ms apart, and
+  /// are answered at once. How many a server got.
+  size_t SentTo(const std::string& server, uint64_t requests = 50) {
+    size_t sent = 0;
+    for (uint64_t object = 0; object < requests; ++object) {
+      const size_t before = Count<SendToServer>();
+      Arrive("/read/x", object);
+      for (size_t send = before; send < Count<SendToServer>(); ++send) {
+        sent += Last<SendToServer>()->m_instance == server ? 1 : 0;
+        End(*Last<SendToServer>(), AttemptEnd::kAnswered);
+      }
+      m_now += milliseconds(20);
+    }
+    return sent;
+  }
+
+  /// An object whose requests go to the server first of all.
+  uint64_t ObjectOf(const std::string& server) {
+    for (uint64_t object = 1; object < 100; ++object) {
+      Arrive("/read/x", object);
+      const SendToServer send = *Last<SendToServer>();
+      End(send, AttemptEnd::kAnswered);
+      if (send.m_instance == server) {
+        return object;
+      }
+    }
+    return 0;
+  }
+
   /// The last action of a kind, or nullptr.
   template <typename Action>
   const Action* Last() const {
