Send nothing more to a server whose answers say that it leaves

What callers saw: answers, until the server ended; then failures.

Cause: who leaves was known from the store's entries alone, though each answer of the server said so.

Ruled out: news of the store that was taken back (none came before 19.6 s); requests that were held, waiting or sent again (new ones went there too).

Change: a server that said so is as little usable as one of which the store says so; all paths to a send ask that one question. Requests that wait for a server which can no longer be used are placed anew at once, instead of staying in its line until a slot elsewhere or their deadline.

--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -78,8 +78,8 @@
 
 bool ServerPicker::IsUsable(const ServerTrack& server) const {
   const ServerEntry& entry = server.Entry();
-  return !entry.m_leaving && !server.IsGone() &&
-         !IsEvacuated(entry.m_failure_domain);
+  return !entry.m_leaving && !server.Notices().IsLeaving() &&
+         !server.IsGone() && !IsEvacuated(entry.m_failure_domain);
 }
 
 bool ServerPicker::IsBreakerOpen(const std::string& domain,
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -179,6 +179,8 @@
   void Send(SteeredRequest& request, ServerTrack* server, TimePoint now);
   void Wait(SteeredRequest& request, ServerTrack* server);
   void StopWaiting(SteeredRequest& request);
+  /// Places requests that wait for the server anew.
+  void MoveWaiting(const ServerTrack& server, TimePoint now);
   void Place(SteeredRequest& request, TimePoint now);
   /// A send ended without an answer to forward.
   void Recover(SteeredRequest& request,
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -81,6 +81,22 @@
   request.m_waits_for.reset();
 }
 
+void Steering::MoveWaiting(const ServerTrack& server, TimePoint now) {
+  std::list<RequestId>& line = Service(server.Entry().m_service).Waiting();
+  std::vector<RequestId> moved;
+  for (const RequestId id : line) {
+    if (m_requests.at(id).m_waits_for.get() == &server) {
+      moved.push_back(id);
+    }
+  }
+  for (const RequestId id : moved) {
+    SteeredRequest& request = m_requests.at(id);
+    line.remove(id);
+    StopWaiting(request);
+    Place(request, now);
+  }
+}
+
 bool Steering::MaySendAgain(SteeredRequest& request, TimePoint now) {
   if (request.m_resend_paid) {
     return true;
@@ -197,6 +213,9 @@
   }
   SteeredService& service = Service(request.m_service);
   service.CountEnd(*server, report);
+  if (!m_picker.IsUsable(*server)) {
+    MoveWaiting(*server, now);
+  }
   if (report.m_end == AttemptEnd::kAnswered) {
     ClearSuspicion(request.m_facts.m_digest, now);
     CancelLive(request, false, now);
