Read the pause that a backend server asks for, and tell it in the log

What callers saw: refusals, 2 to 7 in 100 lookups; others were answered by a second server. The logs showed "rejected" for each send, and not that the server had asked for a pause.

Change: Retry-After of a server's 503 is read as seconds, an hour at most, kept with the run, and told when it begins. Of two pauses the later end holds.

--- a/src/proxy/server_notice.cc
+++ b/src/proxy/server_notice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <optional>
 #include <string>
@@ -15,6 +16,12 @@
 
 namespace {
 
+constexpr int kUnavailable = 503;
+constexpr const char* kRetryAfter = "retry-after";
+/// Seconds. A server that asks for more is asked again after this, and may
+/// repeat itself.
+constexpr double kLongestPauseS = 3600;
+
 /// A decimal number of zero or more, without sign and exponent.
 std::optional<double> ParseDecimal(std::string text) {
   const size_t last = text.find_last_not_of(" \t");
@@ -48,6 +55,17 @@
   notice.m_is_leaving |= flag == 1;
 }
 
+void ReadPause(const std::string& value, ServerNotice& notice) {
+  const auto pause_s = ParseDecimal(value);
+  notice.m_is_malformed |= !pause_s;
+  if (!pause_s) {
+    return;
+  }
+  const auto pause = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(*pause_s, kLongestPauseS)));
+  notice.m_pause = std::max(pause, notice.m_pause.value_or(pause));
+}
+
 }  // namespace
 
 ServerNotice ReadServerNotice(const HttpResponse& answer,
@@ -58,6 +76,8 @@
       ReadLimit(value, notice);
     } else if (IsOneOf(names.m_leaving, name)) {
       ReadLeaving(value, notice);
+    } else if (answer.m_status == kUnavailable && name == kRetryAfter) {
+      ReadPause(value, notice);
     }
   }
   return notice;
--- a/src/steer/notice_archive.cc
+++ b/src/steer/notice_archive.cc
@@ -8,7 +8,7 @@
                         const ServerNotices& notices,
                         TimePoint now) {
   ForgetOld(now);
-  if (notices.IsAnyInForce() && m_kept.size() < kMostKept) {
+  if (notices.IsAnyInForce(now) && m_kept.size() < kMostKept) {
     m_kept[entry.m_instance] = {entry, notices, now};
   }
 }
--- a/src/steer/server_notice_type.h
+++ b/src/steer/server_notice_type.h
@@ -5,6 +5,8 @@
 
 #include <optional>
 
+#include "core/time_type.h"
+
 namespace sorrelplank {
 
 /// What one answer of a backend server asks for.
@@ -13,6 +15,8 @@
   std::optional<double> m_most_per_second;
   /// It leaves and wants no more requests.
   bool m_is_leaving = false;
+  /// It wants no request from this VM for so long.
+  std::optional<Duration> m_pause;
   /// A field that asks for something cannot be read.
   bool m_is_malformed = false;
 };
--- a/src/steer/server_notices.cc
+++ b/src/steer/server_notices.cc
@@ -2,6 +2,8 @@
 
 #include "steer/server_notices.h"
 
+#include <algorithm>
+
 #include "steer/server_notice_type.h"
 
 namespace sorrelplank {
@@ -18,6 +20,10 @@
 void ServerNotices::Take(const ServerNotice& notice, TimePoint now) {
   m_was_malformed |= notice.m_is_malformed;
   m_is_leaving |= notice.m_is_leaving;
+  if (notice.m_pause) {
+    // Of two times asked for the later end holds: each is a word of its own.
+    m_paused_until = std::max(m_paused_until, now + *notice.m_pause);
+  }
   if (notice.m_most_per_second) {
     m_most_per_second = notice.m_most_per_second;
     m_limit_named = now;
--- a/src/steer/server_notices.h
+++ b/src/steer/server_notices.h
@@ -23,7 +23,12 @@
   TimePoint LimitNamed() const { return m_limit_named; }
   /// Whether it leaves; a run that said so does not come back.
   bool IsLeaving() const { return m_is_leaving; }
-  bool IsAnyInForce() const { return m_most_per_second || m_is_leaving; }
+  /// Whether it wants no request from this VM now.
+  bool IsPaused(TimePoint now) const { return now < m_paused_until; }
+  TimePoint PausedUntil() const { return m_paused_until; }
+  bool IsAnyInForce(TimePoint now) const {
+    return m_most_per_second || m_is_leaving || IsPaused(now);
+  }
   /// Whether any answer of the run had a field that cannot be read.
   bool WasMalformed() const { return m_was_malformed; }
 
@@ -31,6 +36,7 @@
   std::optional<double> m_most_per_second;
   TimePoint m_limit_named{};
   bool m_is_leaving = false;
+  TimePoint m_paused_until{};
   bool m_was_malformed = false;
 };
 
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -105,7 +105,7 @@
   const uint32_t failures = server.FailuresInRow();
   const ServerNotices notices = server.Notices();
   server.CountEnd(report, now);
-  TellNotices(server, notices);
+  TellNotices(server, notices, now);
   const std::string& instance = server.Entry().m_instance;
   if (server.FailuresInRow() > failures && server.IsResting(now, usual)) {
     m_sink(BeliefChanged{"server_rests", instance,
@@ -118,18 +118,23 @@
 }
 
 void Steering::TellNotices(const ServerTrack& server,
-                           const ServerNotices& before) {
+                           const ServerNotices& before,
+                           TimePoint now) {
   const std::string& instance = server.Entry().m_instance;
-  const ServerNotices& now = server.Notices();
-  if (now.MostPerSecond() != before.MostPerSecond()) {
-    m_sink(
-        BeliefChanged{now.MostPerSecond() ? "server_limit" : "server_unlimited",
-                      instance, now.MostPerSecond().value_or(0)});
+  const ServerNotices& after = server.Notices();
+  if (after.MostPerSecond() != before.MostPerSecond()) {
+    m_sink(BeliefChanged{
+        after.MostPerSecond() ? "server_limit" : "server_unlimited", instance,
+        after.MostPerSecond().value_or(0)});
   }
-  if (now.IsLeaving() && !before.IsLeaving()) {
+  if (after.IsLeaving() && !before.IsLeaving()) {
     m_sink(BeliefChanged{"server_says_leaving", instance, 1});
   }
-  if (now.WasMalformed() && !before.WasMalformed()) {
+  if (after.IsPaused(now) && !before.IsPaused(now)) {
+    m_sink(BeliefChanged{"server_paused", instance,
+                         ToMilliseconds(after.PausedUntil() - now) / 1000});
+  }
+  if (after.WasMalformed() && !before.WasMalformed()) {
     m_sink(BeliefChanged{"server_notice_malformed", instance, 0});
   }
 }
--- a/tests/server_notice_test.cc
+++ b/tests/server_notice_test.cc
@@ -88,6 +88,46 @@
   cr_assert(fixture.m_notices.IsLeaving());
 }
 
+// Guards against a pause made of what is no number of seconds.
+Test(ServerNotice, RetryAfterOf503_Read_IsAPauseOfSeconds) {
+  for (const auto& [text, pause] :
+       {std::pair("3", Duration{seconds(3)}),
+        std::pair("0.25", Duration{milliseconds(250)}),
+        std::pair("999999999999999999999", Duration{seconds(3600)})}) {
+    NoticeFixture fixture;
+    fixture.m_answer.m_status = 503;
+    fixture.m_answer.m_headers.emplace_back("retry-after", text);
+    cr_assert(fixture.Read().m_pause == pause, "%s", text);
+  }
+  for (const char* text : {"-3", "", "soon", "Thu, 03 Dec 2026 09:00:00 GMT"}) {
+    NoticeFixture fixture;
+    fixture.m_answer.m_status = 503;
+    fixture.m_answer.m_headers.emplace_back("retry-after", text);
+    cr_assert(!fixture.Read().m_pause, "%s", text);
+    cr_assert(fixture.Read().m_is_malformed, "%s", text);
+  }
+}
+
+// Guards against a server that is left alone for what it told a client.
+Test(ServerNotice, RetryAfterOfAnotherStatus_Read_IsNoPause) {
+  for (const int status : {200, 429, 500}) {
+    NoticeFixture fixture;
+    fixture.m_answer.m_status = status;
+    fixture.m_answer.m_headers.emplace_back("retry-after", "3");
+    cr_assert(!fixture.Read().m_pause, "%d", status);
+  }
+}
+
+// Guards against a shorter pause, asked for in an answer that was overtaken,
+// that ends a longer one.
+Test(ServerNotice, TwoPauses_Taken_TheLaterEndHolds) {
+  NoticeFixture fixture;
+  fixture.m_notices.Take({.m_pause = seconds(3)}, fixture.m_now);
+  fixture.m_notices.Take({.m_pause = seconds(1)}, fixture.m_now);
+  cr_assert(fixture.m_notices.IsPaused(fixture.m_now + milliseconds(2999)));
+  cr_assert(!fixture.m_notices.IsPaused(fixture.m_now + seconds(3)));
+}
+
 // Guards against taking the word of another server at the address.
 Test(ServerNotice, AnswerOfAnotherInstance_Judged_HasNoNotice) {
   NoticeFixture fixture;
--- a/trial/limit_world.cc
+++ b/trial/limit_world.cc
@@ -388,7 +388,8 @@
     AttemptReport report;
     report.m_end = AttemptEnd::kAnswered;
     report.m_latency = kWork;
-    report.m_notice = ServerNotice{.m_most_per_second = limit};
+    report.m_notice.emplace();
+    report.m_notice->m_most_per_second = limit;
     told.m_steering->Ended(action.m_request, action.m_attempt, report,
                            m_queue.Now());
   });
