--- a/tests/quota_gate_test.cc
+++ b/tests/quota_gate_test.cc
@@ -215,8 +215,7 @@
   const std::string ask = EncodeQuotaMessage(QuotaAsk{
       .m_subject = HashOrganisation("acme"), .m_number = 7, .m_tokens = 3});
   const auto read = DecodeQuotaMessage(ask.data(), ask.size());
-  cr_assert_eq(std::get<QuotaAsk>(*read).m_subject,
-               HashOrganisation("acme"));
+  cr_assert_eq(std::get<QuotaAsk>(*read).m_subject, HashOrganisation("acme"));
   cr_assert_eq(std::get<QuotaAsk>(*read).m_number, 7);
   cr_assert_eq(std::get<QuotaAsk>(*read).m_tokens, 3);
   const std::string grant =
