Send nothing to a server for the pause that it asked for

What callers saw: 2 to 7 in 100 lookups refused. A server that turned requests away and asked a VM for 3 s without any got up to five from it in that time, each one a second send out of the budget.

Cause: a rejection paused a server for 60 ms where it was full and not at all where it named a free slot, whatever it asked for.

Ruled out: that the pause is kept and passed by on some paths (nothing read it); that VMs which were not told are counted (the report counts by VM).

Change: a pause is a bound, unlike a rest of our own, which ranks a server last. The picker leaves the server out and Steering::TrySend refuses it, so that second sends, waiting requests, copies and tokens of limits keep to it too. Requests in its line are placed anew at once. Where all servers ask for a pause, the request is refused at once and told when the first one ends.

--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -107,6 +107,7 @@
   m_impl->Set("awaiting_tokens", gauges.m_awaiting_tokens);
   m_impl->Set("quotas_kept", gauges.m_quotas_kept);
   m_impl->Set("limited_servers", gauges.m_limited_servers);
+  m_impl->Set("paused_servers", gauges.m_paused_servers);
   m_impl->Set("awaiting_server_tokens", gauges.m_awaiting_server_tokens);
   m_impl->Set("limits_kept", gauges.m_limits_kept);
   m_impl->Set("load_messages", gauges.m_load_messages);
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -42,9 +42,11 @@
   /// organisations whose quota this VM keeps.
   double m_awaiting_tokens = 0;
   double m_quotas_kept = 0;
-  /// Servers that name a limit on their requests, requests held for a token of
-  /// one, and limits whose tokens this VM grants.
+  /// Servers that name a limit on their requests, that want none for a while,
+  /// requests held for a token of a limit, and limits whose tokens this VM
+  /// grants.
   double m_limited_servers = 0;
+  double m_paused_servers = 0;
   double m_awaiting_server_tokens = 0;
   double m_limits_kept = 0;
   Datagrams m_load_messages;
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -82,6 +82,10 @@
          !server.IsGone() && !IsEvacuated(entry.m_failure_domain);
 }
 
+bool ServerPicker::MaySend(const ServerTrack& server, TimePoint now) const {
+  return IsUsable(server) && !server.Notices().IsPaused(now);
+}
+
 bool ServerPicker::IsBreakerOpen(const std::string& domain,
                                  TimePoint now) const {
   const auto it = m_breakers.find(domain);
@@ -91,7 +95,7 @@
 bool ServerPicker::IsWithinReach(const ServerTrack& server,
                                  const ServiceRules& rules,
                                  TimePoint now) const {
-  return IsUsable(server) &&
+  return MaySend(server, now) &&
          !IsBreakerOpen(server.Entry().m_failure_domain, now) &&
          RateLimit(server, rules, now) != 0U;
 }
@@ -139,6 +143,10 @@
   double free_time = 0;
   size_t considered = 0;
   for (ServerTrack* server : ranked) {
+    if (server->Notices().IsPaused(now)) {
+      ++best.m_passed_over;
+      continue;
+    }
     const auto rate_limit = RateLimit(*server, rules, now);
     const bool may_send = !rate_limit || server->HasRateRoom(*rate_limit, now);
     if (!may_send) {
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -71,6 +71,10 @@
   /// Whether requests may be sent to the server at all.
   bool IsUsable(const ServerTrack& server) const;
 
+  /// Whether a request may be sent to the server now, by what the store and the
+  /// server itself say.
+  bool MaySend(const ServerTrack& server, TimePoint now) const;
+
   /// Whether this VM can expect to have requests taken by the server now: its
   /// failure domain is within reach, and a cold one is not left to another VM.
   bool IsWithinReach(const ServerTrack& server,
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -114,6 +114,8 @@
   size_t AwaitingTokens() const { return m_quota_gate.WaitingCount(); }
   /// Servers that name a limit on their requests.
   size_t LimitedServers() const;
+  /// Servers that want no requests from this VM now.
+  size_t PausedServers(TimePoint now) const;
   size_t AwaitingServerTokens() const { return m_server_limits.WaitingCount(); }
   size_t LimitsKept() const { return m_server_limits.KeptCount(); }
   size_t QuotasKept() const { return m_quota_keeper.Count(); }
@@ -191,6 +193,9 @@
   void CheckTime(SteeredRequest& request, TimePoint now);
   void SendSecondCopy(SteeredRequest& request, TimePoint now);
   void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
+  /// Until the first of the servers that may serve the request takes requests
+  /// again; zero where one does now, or none will.
+  Duration UntilPauseEnds(const SteeredRequest& request, TimePoint now);
   /// Gives up all sends; counted as lost where the servers had enough time.
   void CancelLive(SteeredRequest& request, bool counts_as_lost, TimePoint now);
   void Forget(RequestId id);
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -1,5 +1,7 @@
 /// @file steering_ends.cc How requests and their sends end.
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -32,6 +34,10 @@
     refusal.m_retry_after =
         ComeBackAfter(refusal.m_line, refusal.m_request.Get());
     refusal.m_passed_over = request.m_passed_over;
+    if (reason == SteerRefusal::kNoServer) {
+      refusal.m_retry_after =
+          std::max(refusal.m_retry_after, UntilPauseEnds(request, now));
+    }
   }
   if (reason == SteerRefusal::kHeldBack) {
     refusal.m_retry_after = m_crashes.HeldFor(request.m_facts.m_digest, now);
@@ -56,6 +62,24 @@
   Forget(refusal.m_request);
 }
 
+Duration Steering::UntilPauseEnds(const SteeredRequest& request,
+                                  TimePoint now) {
+  PickNeed need;
+  const auto* servers = Candidates(request, need);
+  if (servers == nullptr) {
+    return {};
+  }
+  std::optional<Duration> first;
+  for (const ServerTrack* server : *servers) {
+    if (m_picker.IsUsable(*server)) {
+      const Duration left = std::max<Duration>(
+          server->Notices().PausedUntil() - now, Duration::zero());
+      first = std::min(left, first.value_or(left));
+    }
+  }
+  return first.value_or(Duration::zero());
+}
+
 void Steering::CancelLive(SteeredRequest& request,
                           bool counts_as_lost,
                           TimePoint now) {
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -204,6 +204,12 @@
       }));
 }
 
+size_t Steering::PausedServers(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      m_servers.begin(), m_servers.end(),
+      [now](const auto& one) { return one.second->Notices().IsPaused(now); }));
+}
+
 SteeredService& Steering::Service(const std::string& name) {
   auto& service = m_services[name];
   if (!service) {
--- a/src/steer/steering_limits.cc
+++ b/src/steer/steering_limits.cc
@@ -31,7 +31,7 @@
   for (const auto& [id, verdict] : outcomes) {
     SteeredRequest& request = m_requests.at(id);
     const auto server = std::exchange(request.m_awaits_server, nullptr);
-    const bool may_send = IsListed(*server) && m_picker.IsUsable(*server);
+    const bool may_send = IsListed(*server) && m_picker.MaySend(*server, now);
     if (verdict == QuotaVerdict::kPass && may_send) {
       Send(request, server.get(), now);
       continue;
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -135,7 +135,7 @@
 bool Steering::TrySend(SteeredRequest& request,
                        ServerTrack* server,
                        TimePoint now) {
-  if (server == nullptr) {
+  if (server == nullptr || !m_picker.MaySend(*server, now)) {
     return false;
   }
   if (!request.m_tried.empty() && !MaySendAgain(request, now)) {
@@ -213,7 +213,7 @@
   }
   SteeredService& service = Service(request.m_service);
   service.CountEnd(*server, report);
-  if (!m_picker.IsUsable(*server)) {
+  if (!m_picker.MaySend(*server, now)) {
     MoveWaiting(*server, now);
   }
   if (report.m_end == AttemptEnd::kAnswered) {
--- a/tests/server_pause_test.cc
+++ b/tests/server_pause_test.cc
@@ -24,6 +24,14 @@
       End(*Last<SendToServer>(), AttemptEnd::kAnswered);
     }
   }
+
+  void PauseBoth(Duration pause_of_a, Duration pause_of_b) {
+    Arrive("/read/x", m_object);
+    EndWithNotice(*Last<SendToServer>(), AttemptEnd::kRejected,
+                  {.m_pause = pause_of_a});
+    EndWithNotice(*Last<SendToServer>(), AttemptEnd::kRejected,
+                  {.m_pause = pause_of_b});
+  }
 };
 
 std::unique_ptr<PauseFixture> g_fixture;
@@ -44,5 +52,55 @@
   cr_assert_eq(g_fixture->SentTo("a", 140), 0);
 }
 
+// Guards against a server that is left alone for good.
+Test(ServerPause, AskedFor_BehindIt_ServerIsUsed) {
+  g_fixture->AskForPause(seconds(3));
+  g_fixture->Pass(seconds(3));
+  cr_assert_gt(g_fixture->SentTo("a"), 0);
+}
+
+// Guards against a pause that is forgotten while the entry is away.
+Test(ServerPause, AskedFor_EntryLapsesAndReturns_StillHolds) {
+  g_fixture->AskForPause(seconds(3));
+  g_fixture->m_steering.RemoveServer("a", g_fixture->m_now);
+  g_fixture->Pass(seconds(1));
+  g_fixture->PutServer("a", "d1");
+  cr_assert_eq(g_fixture->SentTo("a"), 0);
+}
+
+// Guards against requests that wait on for a server that wants none.
+Test(ServerPause, RequestsWaitForIt_AskedFor_AreSettledAtOnce) {
+  RouteRule route = MakeRoute("/write/", false);
+  route.m_target_latency = seconds(2);
+  g_fixture->Install(2, {route});
+  SendToServer at_a;
+  for (int request = 0; request < 12; ++request) {
+    g_fixture->Arrive("/write/x", g_fixture->m_object);
+    if (g_fixture->Last<SendToServer>()->m_instance == "a") {
+      at_a = *g_fixture->Last<SendToServer>();
+    }
+  }
+  cr_assert_gt(g_fixture->m_steering.WaitingCount(), 3);
+  g_fixture->m_now += milliseconds(1900);
+  const size_t refused = g_fixture->Count<RefuseRequest>();
+  g_fixture->EndWithNotice(at_a, AttemptEnd::kRejected,
+                           {.m_pause = seconds(3)});
+  cr_assert_gt(g_fixture->Count<RefuseRequest>(), refused);
+}
+
+// Guards against a last resort that goes to servers that want nothing, and
+// against a time to come back at which they still do not.
+Test(ServerPause, AllAskForIt_Request_IsToldWhenTheFirstEnds) {
+  g_fixture->PauseBoth(seconds(20), seconds(4));
+  g_fixture->Pass(seconds(1));
+  const size_t sends = g_fixture->Count<SendToServer>();
+  g_fixture->Arrive("/write/x");
+  cr_assert_eq(g_fixture->Count<SendToServer>(), sends);
+  cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kNoServer);
+  const Duration retry = g_fixture->Last<RefuseRequest>()->m_retry_after;
+  cr_assert_geq(ToMilliseconds(retry), 3000);
+  cr_assert_lt(ToMilliseconds(retry), 4000);
+}
+
 }  // namespace
 }  // namespace sorrelplank
