Spread the times at which callers come back behind a pause

What callers would see: where all servers of a service ask for a pause, all callers are told the same time, and the servers meet them in one moment.

Change: the time until the first pause ends is made longer by up to a quarter, by the request's own number; never shorter, so that it stays true. The test (20 requests, more than 10 times) fails before with one time.

--- a/src/steer/admission.cc
+++ b/src/steer/admission.cc
@@ -45,6 +45,12 @@
   return std::chrono::duration_cast<Duration>(time * factor);
 }
 
+Duration SpreadLater(Duration time, uint64_t spread) {
+  // 1 to 1.25 of the time, in steps of a 128th.
+  const double factor = 1 + static_cast<double>(spread % 33) / 128;
+  return std::chrono::duration_cast<Duration>(time * factor);
+}
+
 Duration ComeBackAfter(const LineState& line, uint64_t spread) {
   return std::clamp<Duration>(Spread(ExpectedWait(line), spread), kSoonest,
                               kLatest);
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -46,6 +46,8 @@
 /// The time made longer or shorter by up to a quarter, by the request's own
 /// number.
 Duration Spread(Duration time, uint64_t spread);
+/// The time made longer by up to a quarter, by the request's own number.
+Duration SpreadLater(Duration time, uint64_t spread);
 
 }  // namespace sorrelplank
 
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -35,8 +35,9 @@
         ComeBackAfter(refusal.m_line, refusal.m_request.Get());
     refusal.m_passed_over = request.m_passed_over;
     if (reason == SteerRefusal::kNoServer) {
-      refusal.m_retry_after =
-          std::max(refusal.m_retry_after, UntilPauseEnds(request, now));
+      refusal.m_retry_after = std::max(
+          refusal.m_retry_after,
+          SpreadLater(UntilPauseEnds(request, now), refusal.m_request.Get()));
     }
   }
   if (reason == SteerRefusal::kHeldBack) {
--- a/tests/server_pause_test.cc
+++ b/tests/server_pause_test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <memory>
+#include <set>
 
 #include "tests/steering_fixture.h"
 
@@ -102,5 +103,17 @@
   cr_assert_lt(ToMilliseconds(retry), 4000);
 }
 
+// Guards against callers who all come back in the moment when a pause ends.
+Test(ServerPause, AllAskForIt_ManyRequests_AreToldDifferentTimes) {
+  g_fixture->PauseBoth(seconds(4), seconds(4));
+  std::set<Duration> times;
+  for (int request = 0; request < 20; ++request) {
+    g_fixture->Arrive("/write/x");
+    times.insert(g_fixture->Last<RefuseRequest>()->m_retry_after);
+  }
+  cr_assert_gt(times.size(), 10);
+  cr_assert_geq(ToMilliseconds(*times.begin()), 4000);
+}
+
 }  // namespace
 }  // namespace sorrelplank
