Leave a region at once when its last server leaves or asks for a pause

What callers would see: refusals for up to 100 ms, until the regions are next measured, though another region has servers.

Change: a notice that takes a server out measures the regions at once, as a failure domain that goes out of reach does. The test (both servers of the region paused, one in another) fails before with a refusal, and passes.

--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -203,10 +203,11 @@
   void CountEnd(ServerTrack& server,
                 const AttemptReport& report,
                 TimePoint now);
-  /// Tells what a server asks of its callers from now on, for logs.
-  void TellNotices(const ServerTrack& server,
-                   const ServerNotices& before,
-                   TimePoint now);
+  /// Tells what a server asks of its callers from now on, for logs, and
+  /// measures the regions anew where it takes no more requests.
+  void ApplyNotices(const ServerTrack& server,
+                    const ServerNotices& before,
+                    TimePoint now);
   /// Notes whether the server's failure domain is within reach.
   void CountReach(const ServerTrack& server, AttemptEnd end, TimePoint now);
   /// How far the split of a service may move, so that services stay together.
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -130,7 +130,7 @@
   const uint32_t failures = server.FailuresInRow();
   const ServerNotices notices = server.Notices();
   server.CountEnd(report, now);
-  TellNotices(server, notices, now);
+  ApplyNotices(server, notices, now);
   const std::string& instance = server.Entry().m_instance;
   if (server.FailuresInRow() > failures && server.IsResting(now, usual)) {
     m_sink(BeliefChanged{"server_rests", instance,
@@ -142,9 +142,9 @@
   CountReach(server, report.m_end, now);
 }
 
-void Steering::TellNotices(const ServerTrack& server,
-                           const ServerNotices& before,
-                           TimePoint now) {
+void Steering::ApplyNotices(const ServerTrack& server,
+                            const ServerNotices& before,
+                            TimePoint now) {
   const std::string& instance = server.Entry().m_instance;
   const ServerNotices& after = server.Notices();
   if (after.MostPerSecond() != before.MostPerSecond()) {
@@ -159,6 +159,13 @@
     m_sink(BeliefChanged{"server_paused", instance,
                          ToMilliseconds(after.PausedUntil() - now) / 1000});
   }
+  const bool is_lost_to_region = after.IsLeaving() != before.IsLeaving() ||
+                                 after.IsPaused(now) != before.IsPaused(now);
+  if (is_lost_to_region) {
+    // Where it was the last one, requests would be refused until regions are
+    // measured next.
+    UpdateShares(now);
+  }
   if (after.WasMalformed() && !before.WasMalformed()) {
     m_sink(BeliefChanged{"server_notice_malformed", instance, 0});
   }
--- a/tests/server_pause_test.cc
+++ b/tests/server_pause_test.cc
@@ -103,6 +103,17 @@
   cr_assert_lt(ToMilliseconds(retry), 4000);
 }
 
+// Guards against refusals until the regions are next measured.
+Test(ServerPause, AllOfTheRegionAskForIt_NextRequest_GoesToAnotherRegion) {
+  g_fixture->PutServer("c", "d3");
+  g_fixture->Pass(seconds(1));
+  g_fixture->PauseBoth(seconds(3), seconds(3));
+  const size_t refused = g_fixture->Count<RefuseRequest>();
+  g_fixture->Arrive("/write/x");
+  cr_assert_str_eq(g_fixture->Last<SendToServer>()->m_instance.c_str(), "c");
+  cr_assert_eq(g_fixture->Count<RefuseRequest>(), refused);
+}
+
 // Guards against callers who all come back in the moment when a pause ends.
 Test(ServerPause, AllAskForIt_ManyRequests_AreToldDifferentTimes) {
   g_fixture->PauseBoth(seconds(4), seconds(4));
