Tell callers when servers that are at their limit take them

What callers would see: where all servers of a service name limits, 503 with 150 ms to come back, as at a full line, while the next token is seconds away.

Change: a refusal for want of a server looks at the keepers' word on when there is a token again, and takes the soonest of the servers. The test (all servers at 0.5 a second, 20 requests) fails before with under 1 s and passes.

--- a/src/steer/server_limits.cc
+++ b/src/steer/server_limits.cc
@@ -76,6 +76,11 @@
   return !is_left_to_others && !gate.IsRefused(subject, now);
 }
 
+Duration ServerLimits::WaitFor(const ServerTrack& server, TimePoint now) const {
+  return MayTry(server, now) ? Duration::zero()
+                             : GateOf(server).ComeBackAfter(SubjectOf(server));
+}
+
 const ServerLimits::Known& ServerLimits::Learn(QuotaSubject subject,
                                                size_t region,
                                                const NamedLimit& limit,
--- a/src/steer/server_limits.h
+++ b/src/steer/server_limits.h
@@ -41,6 +41,10 @@
   /// limit.
   bool MayTry(const ServerTrack& server, TimePoint now) const;
 
+  /// When a server that may not be tried has a token again; zero where it may
+  /// be.
+  Duration WaitFor(const ServerTrack& server, TimePoint now) const;
+
   /// A request is to be sent to a server with a limit. Where it waits, its
   /// outcome comes from TakeGrant or Tick.
   QuotaVerdict Arrived(RequestId request,
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -195,7 +195,7 @@
   void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
   /// Until the first of the servers that may serve the request takes requests
   /// again; zero where one does now, or none will.
-  Duration UntilPauseEnds(const SteeredRequest& request, TimePoint now);
+  Duration UntilServerTakes(const SteeredRequest& request, TimePoint now);
   /// Gives up all sends; counted as lost where the servers had enough time.
   void CancelLive(SteeredRequest& request, bool counts_as_lost, TimePoint now);
   void Forget(RequestId id);
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -37,7 +37,7 @@
     if (reason == SteerRefusal::kNoServer) {
       refusal.m_retry_after = std::max(
           refusal.m_retry_after,
-          SpreadLater(UntilPauseEnds(request, now), refusal.m_request.Get()));
+          SpreadLater(UntilServerTakes(request, now), refusal.m_request.Get()));
     }
   }
   if (reason == SteerRefusal::kHeldBack) {
@@ -63,8 +63,8 @@
   Forget(refusal.m_request);
 }
 
-Duration Steering::UntilPauseEnds(const SteeredRequest& request,
-                                  TimePoint now) {
+Duration Steering::UntilServerTakes(const SteeredRequest& request,
+                                    TimePoint now) {
   PickNeed need;
   const auto* servers = Candidates(request, need);
   if (servers == nullptr) {
@@ -73,8 +73,9 @@
   std::optional<Duration> first;
   for (const ServerTrack* server : *servers) {
     if (m_picker.IsUsable(*server)) {
-      const Duration left = std::max<Duration>(
-          server->Notices().PausedUntil() - now, Duration::zero());
+      const Duration left =
+          std::max<Duration>(server->Notices().PausedUntil() - now,
+                             m_server_limits.WaitFor(*server, now));
       first = std::min(left, first.value_or(left));
     }
   }
--- a/tests/server_limit_test.cc
+++ b/tests/server_limit_test.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 
+#include "tests/steering_fixture.h"
 #include "trial/limit_world.h"
 
 namespace sorrelplank::trial {
@@ -68,6 +69,21 @@
   cr_assert_geq(world.ResultOf(0).m_used, 0.05);
 }
 
+// Guards against callers who are told to come back before a server that is at
+// its limit can take them.
+Test(ServerLimit, AllServersAtTheirLimit_Request_IsToldWhenThereIsRoom) {
+  SteeringFixture fixture;
+  for (uint64_t object = 0; object < 20; ++object) {
+    fixture.Arrive("/read/x", object);
+    fixture.EndWithNotice(*fixture.Last<SendToServer>(), AttemptEnd::kAnswered,
+                          {.m_most_per_second = 0.5});
+  }
+  fixture.Arrive("/read/x");
+  cr_assert_eq(fixture.LastReason(), SteerRefusal::kNoServer);
+  cr_assert_geq(ToMilliseconds(fixture.Last<RefuseRequest>()->m_retry_after),
+                1000);
+}
+
 /// Five faults drawn from a seed, while two servers name limits.
 double WorstWindowUnderFaults(uint64_t seed) {
   std::mt19937_64 random(seed);
