Let the soak's servers ask for less, and check that it is kept to

Servers of the soak name limits, say that they leave without telling the store, and turn requests away with a pause. The check needs no clock of the VMs: once a caller has the answer to a request, its process has read what the server answered, and what callers send it from then on must not reach a server that leaves, or that wants nothing yet. Only answers that are certain to have been read count (the run's only one, or a write's rejection, which a lost answer would have ended as "may have run").

--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "serve/clock_func.h"
+
 namespace sorrelplank::soak {
 
 namespace {
@@ -16,6 +18,7 @@
 
 void Ledger::Sent(const std::string& id, CallerRequest request) {
   ++m_counts.m_sent;
+  request.m_sent_order = m_next_order++;
   m_requests[id] = std::move(request);
 }
 
@@ -59,6 +62,8 @@
 void Ledger::Ended(const std::string& id, CallerEnd end) {
   CallerRequest& request = m_requests.at(id);
   request.m_end = end;
+  request.m_end_order = m_next_order++;
+  request.m_ended = SteadyNow();
   switch (end) {
     case CallerEnd::kPending:
       break;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -33,6 +33,10 @@
   std::string m_organisation;
   CallerEnd m_end = CallerEnd::kPending;
   int m_runs = 0;
+  /// Places of its sending and its end among all such events of the run.
+  uint64_t m_sent_order = 0;
+  uint64_t m_end_order = 0;
+  TimePoint m_ended{};
 };
 
 /// A request as a backend server got it.
@@ -94,6 +98,7 @@
   std::map<std::string, CallerRequest> m_requests;
   std::vector<std::string> m_breaches;
   LedgerCounts m_counts;
+  uint64_t m_next_order = 1;
 };
 
 }  // namespace sorrelplank::soak
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -132,6 +132,54 @@
   EndServer(server, Draw(random, milliseconds(500), seconds(6)));
 }
 
+void SoakWorld::AskFor(SoakServer& server,
+                       const ServerNotice& notice,
+                       Duration time) {
+  server.Ask(notice);
+  After(time, [&server, life = server.Life()] {
+    if (server.Life() == life) {
+      server.Ask({});
+    }
+  });
+}
+
+void SoakWorld::NameLimit(Random& random) {
+  SoakServer& server = AnyServer(random);
+  if (!server.IsUp() || server.Asks().m_is_leaving) {
+    return;
+  }
+  ServerNotice notice;
+  notice.m_most_per_second = 1.5 + static_cast<double>(random() % 20) / 2;
+  AskFor(server, notice, Draw(random, seconds(2), seconds(15)));
+}
+
+void SoakWorld::SayLeaving(Random& random) {
+  SoakServer& server = AnyServer(random);
+  if (!server.IsUp()) {
+    return;
+  }
+  ServerNotice notice;
+  notice.m_is_leaving = true;
+  server.Ask(notice);
+  After(Draw(random, seconds(3), seconds(8)),
+        [this, &server, life = server.Life()] {
+          if (server.Life() == life) {
+            TroubleAll(seconds(1));
+            EndServer(server, kCrashedFor);
+          }
+        });
+}
+
+void SoakWorld::AskForPause(Random& random) {
+  SoakServer& server = AnyServer(random);
+  if (!server.IsUp() || server.Asks().m_is_leaving) {
+    return;
+  }
+  ServerNotice notice;
+  notice.m_pause = Draw(random, milliseconds(300), seconds(4));
+  AskFor(server, notice, Draw(random, seconds(1), seconds(5)));
+}
+
 void SoakWorld::EndServer(SoakServer& server, Duration down) {
   const std::string instance = server.Instance();
   server.Crash();
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -46,6 +46,9 @@
     {"restart_server_under_its_id", false, &SoakWorld::RestartServerUnderItsId},
     {"overwrite_server_entry", false, &SoakWorld::OverwriteServerEntry},
     {"repeat_crashing_request", false, &SoakWorld::RepeatCrashingRequest},
+    {"name_limit", true, &SoakWorld::NameLimit},
+    {"say_leaving", true, &SoakWorld::SayLeaving},
+    {"ask_for_pause", true, &SoakWorld::AskForPause},
 };
 
 /// Time from the start of the processes until faults begin.
@@ -146,6 +149,8 @@
               << " not_accepted=" << counts.m_not_accepted
               << " runs=" << counts.m_runs
               << " servers_ended=" << m_world.Crashing().ServersEnded()
+              << " asked_by_servers=" << m_world.Notices().AskedCount()
+              << " checked=" << m_world.Notices().CheckedCount()
               << " breaches=" << breaches.size() << std::endl;
     for (const std::string& breach : breaches) {
       std::cout << "  " << breach << "\n";
--- a/soak/soak_server.cc
+++ b/soak/soak_server.cc
@@ -2,6 +2,8 @@
 
 #include "soak/soak_server.h"
 
+#include <fmt/format.h>
+
 #include <utility>
 
 #include "platform/wire_names.h"
@@ -17,6 +19,7 @@
 constexpr size_t kQueue = 8;
 /// A run takes this long, or up to three times as long.
 constexpr int kRunMs = 20;
+constexpr int kUnavailable = 503;
 
 asio::ip::tcp::endpoint Endpoint(const std::string& ip, uint16_t port) {
   return {asio::ip::make_address(ip), port};
@@ -33,12 +36,14 @@
                        SoakServerSpec spec,
                        Ledger& ledger,
                        RunHandler on_run,
-                       CrashHandler on_crash)
+                       CrashHandler on_crash,
+                       NoticeHandlers notices)
     : m_io(io),
       m_spec(std::move(spec)),
       m_ledger(ledger),
       m_on_run(std::move(on_run)),
       m_on_crash(std::move(on_crash)),
+      m_notices(std::move(notices)),
       m_proxy(io, EndsOf(m_spec)),
       m_server(io,
                m_spec.m_ip,
@@ -55,6 +60,7 @@
 void SoakServer::Crash() {
   m_is_up = false;
   ++m_life;
+  m_notice = {};
   m_running = 0;
   m_queue.clear();
   m_proxy.StopListening();
@@ -79,12 +85,38 @@
   const ProxyNames names = platform::HeaderNames();
   HttpResponse response;
   response.m_status = status;
-  response.m_headers = {
-      {names.m_request_id, request.Header(names.m_request_id).value_or("")},
-      {names.m_not_run, "1"}};
+  const std::string id = request.Header(names.m_request_id).value_or("");
+  response.m_headers = {{names.m_request_id, id}, {names.m_not_run, "1"}};
+  if (status == kUnavailable) {
+    AddNotice(id, response);
+  }
   reply(std::move(response));
 }
 
+void SoakServer::AddNotice(const std::string& id, HttpResponse& response) {
+  const ProxyNames names = platform::HeaderNames();
+  ServerNotice notice = m_notice;
+  if (response.m_status != kUnavailable) {
+    notice.m_pause.reset();
+  }
+  if (notice.m_most_per_second) {
+    response.m_headers.emplace_back(
+        names.m_rate_limit.front(),
+        fmt::format("{}", *notice.m_most_per_second));
+  }
+  if (notice.m_is_leaving) {
+    response.m_headers.emplace_back(names.m_leaving.front(), "1");
+  }
+  if (notice.m_pause) {
+    response.m_headers.emplace_back(
+        "Retry-After",
+        fmt::format("{:.3f}", ToMilliseconds(*notice.m_pause) / 1000));
+  }
+  if (notice.m_most_per_second || notice.m_is_leaving || notice.m_pause) {
+    m_notices.m_on_notice(id, *this, notice);
+  }
+}
+
 void SoakServer::Serve(HttpRequest request, HttpReply reply) {
   if (!m_is_up) {
     return;
@@ -95,13 +127,19 @@
     Reject(request, reply, 421);
     return;
   }
+  m_notices.m_on_arrival(request.Header(names.m_request_id).value_or(""),
+                         *this);
+  if (m_notice.m_pause) {
+    Reject(request, reply, kUnavailable);
+    return;
+  }
   Work work{std::move(request), std::move(reply)};
   if (m_running < kSlots) {
     Run(std::move(work));
   } else if (m_queue.size() < kQueue) {
     m_queue.push_back(std::move(work));
   } else {
-    Reject(work.m_request, work.m_reply, 503);
+    Reject(work.m_request, work.m_reply, kUnavailable);
   }
 }
 
@@ -148,6 +186,7 @@
                         {names.m_load, std::to_string(m_running) + "," +
                                            std::to_string(m_queue.size()) +
                                            "," + std::to_string(kSlots)}};
+  AddNotice(id, response);
   response.m_body = Ledger::AnswerBody(id, work.m_request.m_target);
   work.m_reply(std::move(response));
   --m_running;
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -13,6 +13,7 @@
 
 #include "net/http_server.h"
 #include "soak/fault_proxy.h"
+#include "steer/server_notice_type.h"
 
 namespace sorrelplank::soak {
 
@@ -38,11 +39,22 @@
   using CrashHandler =
       std::function<void(const std::string& id, SoakServer& server)>;
 
+  /// Told of each request that reaches this server, and of what an answer
+  /// asks.
+  struct NoticeHandlers {
+    RunHandler m_on_arrival;
+    std::function<void(const std::string& id,
+                       const SoakServer& server,
+                       const ServerNotice& notice)>
+        m_on_notice;
+  };
+
   SoakServer(asio::io_context& io,
              SoakServerSpec spec,
              Ledger& ledger,
              RunHandler on_run,
-             CrashHandler on_crash);
+             CrashHandler on_crash,
+             NoticeHandlers notices);
 
   const SoakServerSpec& Spec() const { return m_spec; }
   const std::string& Instance() const { return m_instance; }
@@ -55,6 +67,17 @@
   /// may be of another service.
   void Restart(const std::string& instance, const std::string& service);
   bool IsUp() const { return m_is_up; }
+  /// Counts the runs.
+  uint64_t Life() const { return m_life; }
+  /// What it asks from now on; with a pause it turns all requests away. Ends
+  /// with the run.
+  void Ask(const ServerNotice& notice) {
+    m_notice = notice;
+    ++m_notice_number;
+  }
+  /// Counts what it asked for.
+  uint64_t NoticeNumber() const { return m_notice_number; }
+  const ServerNotice& Asks() const { return m_notice; }
   /// Unix time of the run's start.
   milliseconds Started() const { return m_started; }
 
@@ -67,6 +90,8 @@
 
   void Serve(HttpRequest request, HttpReply reply);
   void Reject(const HttpRequest& request, const HttpReply& reply, int status);
+  /// Adds what it asks to an answer.
+  void AddNotice(const std::string& id, HttpResponse& response);
   void Run(Work work);
   void Finish(const Work& work);
 
@@ -75,6 +100,9 @@
   Ledger& m_ledger;
   RunHandler m_on_run;
   CrashHandler m_on_crash;
+  NoticeHandlers m_notices;
+  ServerNotice m_notice;
+  uint64_t m_notice_number = 0;
   std::string m_instance;
   bool m_is_up = false;
   milliseconds m_started{};
--- a/soak/soak_world.cc
+++ b/soak/soak_world.cc
@@ -114,7 +114,15 @@
             },
             [this](const std::string& id, SoakServer& where) {
               OnCrash(id, where);
-            }));
+            },
+            SoakServer::NoticeHandlers{
+                [this](const std::string& id, const SoakServer& where) {
+                  m_notices.Arrived(id, where, LifeOf(id), SteadyNow());
+                },
+                [this](const std::string& id, const SoakServer& where,
+                       const ServerNotice& notice) {
+                  m_notices.Asked(id, where, notice, LifeOf(id), SteadyNow());
+                }}));
       }
     }
   }
@@ -333,6 +341,12 @@
   });
 }
 
+VmLife SoakWorld::LifeOf(const std::string& id) {
+  const CallerRequest* request = m_ledger.Find(id);
+  const Vm* vm = request == nullptr ? nullptr : FindVm(request->m_vm);
+  return vm == nullptr ? VmLife() : VmLife{vm->m_name, vm->m_starts};
+}
+
 SoakWorld::Vm* SoakWorld::FindVm(const std::string& name) {
   const auto it = std::find_if(m_vms.begin(), m_vms.end(),
                                [&](const Vm& vm) { return vm.m_name == name; });
--- a/soak/soak_world.h
+++ b/soak/soak_world.h
@@ -19,6 +19,7 @@
 #include "soak/edge_child.h"
 #include "soak/fault_proxy.h"
 #include "soak/ledger.h"
+#include "soak/notice_watch.h"
 #include "soak/soak_caller.h"
 #include "soak/soak_server.h"
 #include "standin/store_standin.h"
@@ -53,6 +54,7 @@
   void Heal();
   Ledger& Records() { return m_ledger; }
   const CrashingRequests& Crashing() const { return m_crashing; }
+  const NoticeWatch& Notices() const { return m_notices; }
 
   // Planned work.
   void StopVm(Random& random);
@@ -79,6 +81,13 @@
   void RestartServerUnderItsId(Random& random);
   void OverwriteServerEntry(Random& random);
   void RepeatCrashingRequest(Random& random);
+  /// A server names a limit for some time.
+  void NameLimit(Random& random);
+  /// A server says in its answers that it leaves, and ends later; the store is
+  /// not told.
+  void SayLeaving(Random& random);
+  /// A server turns requests away for some time, and asks for pauses.
+  void AskForPause(Random& random);
 
  private:
   /// One entry VM.
@@ -108,6 +117,10 @@
   void PollVm(Vm& vm);
   void OnRun(const std::string& id, const SoakServer& server);
   void OnCut(const std::string& id);
+  /// The process that a caller sent the request to.
+  VmLife LifeOf(const std::string& id);
+  /// A server asks for something for some time.
+  void AskFor(SoakServer& server, const ServerNotice& notice, Duration time);
   /// Ends a server; its entry lapses, and it is back after the time given.
   void EndServer(SoakServer& server, Duration down);
   void OnCrash(const std::string& id, SoakServer& server);
@@ -131,6 +144,7 @@
   std::string m_network;
   Ledger m_ledger;
   CrashingRequests m_crashing{m_ledger};
+  NoticeWatch m_notices{m_ledger, m_options.m_checks_times};
   HttpClient m_http;
   StoreStandin m_store;
   std::unique_ptr<HttpServer> m_store_server;
