Let VMs of other regions use a limited server where it is one of the last

What callers would see: two faults, of one cause. Where all servers of a service in reach name limits and stand in another region, 503 though its keeper has tokens. And a limited server that VMs of other regions never use again, since only its answers tell that the limit has ended, and they send it nothing.

Change: it is left to them while another server can be sent to, and for 10 s after the last answer that named the limit. Beyond that a request asks the keeper of the server's region for a token, so that the bound holds as before.

--- a/src/steer/server_limits.cc
+++ b/src/steer/server_limits.cc
@@ -22,6 +22,9 @@
 /// A keeper that may have been replaced has a part so much smaller: cut off
 /// with those that still ask it, it grants beside the one in its place.
 constexpr size_t kPartsIfReplaced = 3;
+/// A VM of another region asks for a token again this long after an answer that
+/// named the limit: nothing but an answer tells that it has ended.
+constexpr Duration kRemoteRest = seconds(10);
 /// Limits that nobody asked for are forgotten.
 constexpr Duration kUnusedFor = seconds(60);
 constexpr Duration kSweepInterval = seconds(5);
@@ -65,15 +68,19 @@
 }
 
 bool ServerLimits::MayTry(const ServerTrack& server, TimePoint now) const {
-  if (!server.Notices().MostPerSecond()) {
-    return true;
-  }
-  const QuotaSubject subject = SubjectOf(server);
-  const QuotaGate& gate = GateOf(server);
+  return !server.Notices().MostPerSecond() ||
+         !GateOf(server).IsRefused(SubjectOf(server), now);
+}
+
+bool ServerLimits::IsLeftToItsRegion(const ServerTrack& server,
+                                     TimePoint now) const {
   const std::string& region = m_regions[server.Region()];
-  const bool is_left_to_others =
-      region != m_region && !gate.Directory().KeeperIn(region, subject).empty();
-  return !is_left_to_others && !gate.IsRefused(subject, now);
+  const bool is_remote = server.Notices().MostPerSecond() && region != m_region;
+  return is_remote && now - server.Notices().LimitNamed() < kRemoteRest &&
+         !GateOf(server)
+              .Directory()
+              .KeeperIn(region, SubjectOf(server))
+              .empty();
 }
 
 Duration ServerLimits::WaitFor(const ServerTrack& server, TimePoint now) const {
--- a/src/steer/server_limits.h
+++ b/src/steer/server_limits.h
@@ -24,8 +24,8 @@
 /// Each VM that kept below the limit alone would send as much as all of them
 /// may, and equal parts would leave most of a small limit unused. So the limit
 /// is a quota with one keeper, a VM of the server's region. VMs of other
-/// regions leave the server to those: a token would take them as long as an
-/// answer of a server of their own.
+/// regions leave the server to those while others serve: a token would take
+/// them as long as an answer of a server of their own.
 class ServerLimits {
  public:
   /// The own VM and its region, and all regions by their numbers.
@@ -40,6 +40,10 @@
   /// Whether a request may try for the server now; true for servers without a
   /// limit.
   bool MayTry(const ServerTrack& server, TimePoint now) const;
+  /// Whether VMs of the server's region have it to themselves, as long as other
+  /// servers can be sent to. Not once this VM has heard nothing of the limit
+  /// for long: it may have ended.
+  bool IsLeftToItsRegion(const ServerTrack& server, TimePoint now) const;
 
   /// When a server that may not be tried has a token again; zero where it may
   /// be.
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -152,7 +152,12 @@
     if (!may_send) {
       continue;
     }
-    if (need.m_limits != nullptr && !need.m_limits->MayTry(*server, now)) {
+    const bool is_held_by_limit =
+        need.m_limits != nullptr &&
+        (!need.m_limits->MayTry(*server, now) ||
+         (!need.m_takes_remote_limited &&
+          need.m_limits->IsLeftToItsRegion(*server, now)));
+    if (is_held_by_limit) {
       ++best.m_passed_over;
       continue;
     }
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -34,6 +34,9 @@
   UsualService m_usual;
   /// Which servers with a limit may be tried; nullptr: all.
   const ServerLimits* m_limits = nullptr;
+  /// Whether servers with a limit that are left to the VMs of their region may
+  /// be taken as well.
+  bool m_takes_remote_limited = false;
 };
 
 /// Servers for a request; nullptr where there is none.
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -232,8 +232,12 @@
   if (servers == nullptr) {
     return {};
   }
-  const Choice choice =
-      m_picker.Pick(*servers, RulesOf(request.m_service), need, now);
+  const ServiceRules& rules = RulesOf(request.m_service);
+  Choice choice = m_picker.Pick(*servers, rules, need, now);
+  if (choice.m_first == nullptr && choice.m_passed_over > 0) {
+    need.m_takes_remote_limited = true;
+    choice = m_picker.Pick(*servers, rules, need, now);
+  }
   request.m_passed_over = choice.m_passed_over;
   return choice;
 }
--- a/tests/server_limit_test.cc
+++ b/tests/server_limit_test.cc
@@ -84,6 +84,55 @@
                 1000);
 }
 
+/// A service whose only server stands in another region, with a VM there.
+struct RemoteLimitFixture : SteeringFixture {
+  RemoteLimitFixture() {
+    m_steering.RemoveServer("a", m_now);
+    m_steering.RemoveServer("b", m_now);
+    PutServer("c", "d3");
+    m_steering.SetFleet({{"vm-1", "", "d1", "r1"}, {"vm-2", "", "d3", "r2"}},
+                        m_now);
+    Pass(seconds(1));
+    Arrive("/read/x");
+    EndWithNotice(*Last<SendToServer>(), AttemptEnd::kAnswered,
+                  {.m_most_per_second = 2});
+  }
+
+  /// The keeper grants what was asked for last.
+  void Grant() {
+    const QuotaAsk ask = Last<AskForTokens>()->m_question.m_ask;
+    m_steering.TakeQuotaGrant({.m_subject = ask.m_subject,
+                               .m_number = ask.m_number,
+                               .m_tokens = ask.m_tokens,
+                               .m_is_keeper = true},
+                              m_now);
+  }
+};
+
+// Guards against refusals at VMs of other regions while the keeper has tokens.
+Test(ServerLimit, OnlyServerIsRemote_Request_AsksItsKeeper) {
+  RemoteLimitFixture fixture;
+  const size_t sends = fixture.Count<SendToServer>();
+  fixture.Arrive("/read/x");
+  cr_assert_eq(fixture.Count<RefuseRequest>(), 0);
+  fixture.Grant();
+  cr_assert_eq(fixture.Count<SendToServer>(), sends + 1);
+}
+
+// Guards against a server that VMs of other regions never use again, since
+// they hear nothing of the limit's end.
+Test(ServerLimit, NamedLongAgo_OtherRegionsVm_AsksTheKeeperOnce) {
+  RemoteLimitFixture fixture;
+  fixture.PutServer("d", "d3");
+  fixture.Pass(seconds(12));
+  cr_assert_gt(fixture.SentTo("d"), 0);
+  cr_assert_eq(fixture.Count<AskForTokens>(), 1);
+  fixture.Grant();
+  fixture.EndWithNotice(*fixture.Last<SendToServer>(), AttemptEnd::kAnswered,
+                        {});
+  cr_assert_gt(fixture.SentTo("c"), 0);
+}
+
 /// Five faults drawn from a seed, while two servers name limits.
 double WorstWindowUnderFaults(uint64_t seed) {
   std::mt19937_64 random(seed);
