Split what a server's own word forbids from the picker, and share a test's load

No change of what is decided: AsksForNone holds the two questions that stood in the middle of the pick, kRemoteRetryInterval says what the time is for, and two tests of waiting requests fill the servers by one function.

--- a/src/steer/server_limits.cc
+++ b/src/steer/server_limits.cc
@@ -24,7 +24,7 @@
 constexpr size_t kPartsIfReplaced = 3;
 /// A VM of another region asks for a token again this long after an answer that
 /// named the limit: nothing but an answer tells that it has ended.
-constexpr Duration kRemoteRest = seconds(10);
+constexpr Duration kRemoteRetryInterval = seconds(10);
 /// Limits that nobody asked for are forgotten.
 constexpr Duration kUnusedFor = seconds(60);
 constexpr Duration kSweepInterval = seconds(5);
@@ -76,7 +76,8 @@
                                      TimePoint now) const {
   const std::string& region = m_regions[server.Region()];
   const bool is_remote = server.Notices().MostPerSecond() && region != m_region;
-  return is_remote && now - server.Notices().LimitNamed() < kRemoteRest &&
+  return is_remote &&
+         now - server.Notices().LimitNamed() < kRemoteRetryInterval &&
          !GateOf(server)
               .Directory()
               .KeeperIn(region, SubjectOf(server))
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -45,6 +45,22 @@
              need.m_tried->end();
 }
 
+/// Whether the server's own word forbids to send the request there now. A
+/// bound, unlike a rest of ours, which only ranks a server last.
+bool AsksForNone(const ServerTrack& server,
+                 const PickNeed& need,
+                 TimePoint now) {
+  if (server.Notices().IsPaused(now)) {
+    return true;
+  }
+  if (need.m_limits == nullptr || !server.Notices().MostPerSecond()) {
+    return false;
+  }
+  const bool is_left_out = !need.m_takes_remote_limited &&
+                           need.m_limits->IsLeftToItsRegion(server, now);
+  return is_left_out || !need.m_limits->MayTry(server, now);
+}
+
 }  // namespace
 
 ServerPicker::ServerPicker(const SteeringSettings& settings)
@@ -143,7 +159,7 @@
   double free_time = 0;
   size_t considered = 0;
   for (ServerTrack* server : ranked) {
-    if (server->Notices().IsPaused(now)) {
+    if (AsksForNone(*server, need, now)) {
       ++best.m_passed_over;
       continue;
     }
@@ -152,15 +168,6 @@
     if (!may_send) {
       continue;
     }
-    const bool is_held_by_limit =
-        need.m_limits != nullptr &&
-        (!need.m_limits->MayTry(*server, now) ||
-         (!need.m_takes_remote_limited &&
-          need.m_limits->IsLeftToItsRegion(*server, now)));
-    if (is_held_by_limit) {
-      ++best.m_passed_over;
-      continue;
-    }
     if (considered++ == choices) {
       break;
     }
--- a/tests/server_leaving_test.cc
+++ b/tests/server_leaving_test.cc
@@ -79,17 +79,7 @@
 
 // Guards against requests that wait on for a server that leaves.
 Test(ServerLeaving, RequestsWaitForIt_AnswerSaysSo_AreSettledAtOnce) {
-  RouteRule route = MakeRoute("/write/", false);
-  route.m_target_latency = seconds(2);
-  g_fixture->Install(2, {route});
-  // Both servers are filled; the others wait for "a", the first of the object.
-  SendToServer at_a;
-  for (int request = 0; request < 12; ++request) {
-    g_fixture->Arrive("/write/x", g_fixture->m_object);
-    if (g_fixture->Last<SendToServer>()->m_instance == "a") {
-      at_a = *g_fixture->Last<SendToServer>();
-    }
-  }
+  const SendToServer at_a = g_fixture->LetWritesWaitForA(g_fixture->m_object);
   cr_assert_gt(g_fixture->m_steering.WaitingCount(), 3);
   g_fixture->m_now += milliseconds(1900);
   const size_t refused = g_fixture->Count<RefuseRequest>();
--- a/tests/server_pause_test.cc
+++ b/tests/server_pause_test.cc
@@ -71,16 +71,7 @@
 
 // Guards against requests that wait on for a server that wants none.
 Test(ServerPause, RequestsWaitForIt_AskedFor_AreSettledAtOnce) {
-  RouteRule route = MakeRoute("/write/", false);
-  route.m_target_latency = seconds(2);
-  g_fixture->Install(2, {route});
-  SendToServer at_a;
-  for (int request = 0; request < 12; ++request) {
-    g_fixture->Arrive("/write/x", g_fixture->m_object);
-    if (g_fixture->Last<SendToServer>()->m_instance == "a") {
-      at_a = *g_fixture->Last<SendToServer>();
-    }
-  }
+  const SendToServer at_a = g_fixture->LetWritesWaitForA(g_fixture->m_object);
   cr_assert_gt(g_fixture->m_steering.WaitingCount(), 3);
   g_fixture->m_now += milliseconds(1900);
   g_fixture->EndWithNotice(at_a, AttemptEnd::kRejected,
--- a/tests/steering_fixture.h
+++ b/tests/steering_fixture.h
@@ -165,6 +165,22 @@
     return 0;
   }
 
+  /// Fills both servers by writes on the object, and lets more wait for "a".
+  /// The last send to "a".
+  SendToServer LetWritesWaitForA(uint64_t object) {
+    RouteRule route = MakeRoute("/write/", false);
+    route.m_target_latency = seconds(2);
+    Install(2, {route});
+    SendToServer at_a;
+    for (int request = 0; request < 12; ++request) {
+      Arrive("/write/x", object);
+      if (Last<SendToServer>()->m_instance == "a") {
+        at_a = *Last<SendToServer>();
+      }
+    }
+    return at_a;
+  }
+
   /// The last action of a kind, or nullptr.
   template <typename Action>
   const Action* Last() const {
