Let a limit end by a whole answer only, not by an error or a rejection

What callers would see: nothing; a server that names a limit in its answers and not in its errors would get more than it takes after each error.

Change: a limit ends by an answer of the server's own without the field.

--- a/src/steer/server_notices.cc
+++ b/src/steer/server_notices.cc
@@ -17,7 +17,9 @@
 
 }  // namespace
 
-void ServerNotices::Take(const ServerNotice& notice, TimePoint now) {
+void ServerNotices::Take(const ServerNotice& notice,
+                         bool may_end_limit,
+                         TimePoint now) {
   m_was_malformed |= notice.m_is_malformed;
   m_is_leaving |= notice.m_is_leaving;
   if (notice.m_pause) {
@@ -29,7 +31,7 @@
     m_limit_named = now;
     return;
   }
-  const bool says_none = !notice.m_is_malformed;
+  const bool says_none = may_end_limit && !notice.m_is_malformed;
   if (says_none && now - m_limit_named >= kLimitOutlives) {
     m_most_per_second.reset();
   }
--- a/src/steer/server_notices.h
+++ b/src/steer/server_notices.h
@@ -14,8 +14,9 @@
 /// What is in force of all that the run's answers asked for.
 class ServerNotices {
  public:
-  /// An answer came.
-  void Take(const ServerNotice& notice, TimePoint now);
+  /// An answer came. A limit ends by one without it, unless that is an error or
+  /// a rejection: those may be made by another part of the server.
+  void Take(const ServerNotice& notice, bool may_end_limit, TimePoint now);
 
   /// Requests a second that it takes from all entry VMs together.
   std::optional<double> MostPerSecond() const { return m_most_per_second; }
--- a/src/steer/server_track.cc
+++ b/src/steer/server_track.cc
@@ -110,7 +110,8 @@
     m_untold_at = now;
   }
   if (report.m_notice) {
-    m_notices.Take(*report.m_notice, now);
+    m_notices.Take(*report.m_notice, report.m_end == AttemptEnd::kAnswered,
+                   now);
   }
   if (report.m_end == AttemptEnd::kRejected) {
     CountRejection(report, now);
--- a/tests/server_limit_test.cc
+++ b/tests/server_limit_test.cc
@@ -84,6 +84,21 @@
                 1000);
 }
 
+// Guards against a limit that an error ends: it need not be made by the part of
+// the server that names the limit.
+Test(ServerLimit, Named_ErrorWithoutIt_StillHolds) {
+  SteeringFixture fixture;
+  fixture.Arrive("/read/x");
+  const SendToServer first = *fixture.Last<SendToServer>();
+  fixture.Arrive("/write/x");
+  const SendToServer second = *fixture.Last<SendToServer>();
+  cr_assert_str_eq(first.m_instance.c_str(), second.m_instance.c_str());
+  fixture.EndWithNotice(first, AttemptEnd::kAnswered, {.m_most_per_second = 2});
+  fixture.Pass(milliseconds(1500));
+  fixture.EndWithNotice(second, AttemptEnd::kServerError, {});
+  cr_assert_eq(fixture.m_steering.LimitedServers(), 1);
+}
+
 /// A service whose only server stands in another region, with a VM there.
 struct RemoteLimitFixture : SteeringFixture {
   RemoteLimitFixture() {
