--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Entry points for people and for CI. `make demo` and `make test` do all set-up themselves.
 DEPLOYMENT ?= trasa
 BUILD ?= build
-# One group of measurements (blocks, decisions, control, steering, quotas, path,
+# One group of measurements (blocks, decisions, control, steering, quotas, limits, path,
 # spread, policy) or all.
 BENCH ?= all
 # One failure run by name, short or all.
--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -8,6 +8,7 @@
 
 #include "bench/client_blocks_bench.h"
 #include "bench/decision_bench.h"
+#include "bench/limit_bench.h"
 #include "bench/path_bench.h"
 #include "bench/policy_bench.h"
 #include "bench/quota_bench.h"
@@ -38,6 +39,9 @@
   if (all || group == "quotas") {
     BenchQuotas();
   }
+  if (all || group == "limits") {
+    BenchLimits();
+  }
   if (all || group == "path") {
     BenchPath(binaries, "examples");
   }
