Wait until a process of the soak has begun before its listeners are closed

Cause: between fork and the program's start a new process holds copies of all listeners of the soak. A server that starts again in that moment closes its port and cannot take it anew. On a busy machine that moment is long.

Ruled out: another process on the same network of loopback addresses (none had it), and a port that is used for a connection (8090 is not among those).

Change: the parent waits until a pipe shows that the program has begun. The test (a listener that is closed and opened again right after a start, fifty times) fails at the first round before, with the same message, and passes. This is in the soak only, no part of the product.

--- a/soak/edge_child.cc
+++ b/soak/edge_child.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 #include <filesystem>
 #include <stdexcept>
@@ -13,6 +14,13 @@
 
 namespace sorrelplank::soak {
 
+namespace {
+
+/// The first descriptor behind the standard ones.
+constexpr int kFirstOfOurs = STDERR_FILENO + 1;
+
+}  // namespace
+
 EdgeChild::EdgeChild(std::string program, std::string settings, std::string log)
     : m_program(std::move(program)),
       m_settings(std::move(settings)),
@@ -37,21 +45,33 @@
   std::string option = "--settings";
   char* const arguments[] = {m_program.data(), command.data(), option.data(),
                              m_settings.data(), nullptr};
+  int begun[2];
+  if (pipe2(begun, O_CLOEXEC) != 0) {
+    throw std::runtime_error("no pipe");
+  }
   const pid_t pid = fork();
   if (pid < 0) {
     throw std::runtime_error("fork failed");
   }
   if (pid == 0) {
+    dup3(begun[1], kFirstOfOurs, O_CLOEXEC);
     const int file =
         open(m_log.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
     dup2(file, STDOUT_FILENO);
     dup2(file, STDERR_FILENO);
     // A connection whose descriptor the child holds too would not end when it
     // is closed here.
-    close_range(STDERR_FILENO + 1, ~0U, 0);
+    close_range(kFirstOfOurs + 1, ~0U, 0);
     execv(arguments[0], arguments);
     _exit(127);
   }
+  close(begun[1]);
+  // Until the program begins the child holds copies of all listeners; closed
+  // here meanwhile, their ports could not be taken again.
+  char none = 0;
+  while (read(begun[0], &none, 1) < 0 && errno == EINTR) {
+  }
+  close(begun[0]);
   m_pid = pid;
 }
 
--- a/tests/edge_child_test.cc
+++ b/tests/edge_child_test.cc
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <asio.hpp>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
@@ -11,6 +12,8 @@
 #include <string>
 #include <thread>
 
+#include "tests/free_port_func.h"
+
 namespace sorrelplank::soak {
 namespace {
 
@@ -69,5 +72,28 @@
   cr_assert(end.m_had_begun);
 }
 
+// Guards against a port that stays taken while a process that was just begun
+// holds a copy of its listener.
+Test(EdgeChild, JustStarted_ListenerIsClosed_PortIsFree) {
+  const ChildFixture fixture;
+  asio::io_context io;
+  const asio::ip::tcp::endpoint where(asio::ip::address_v4::loopback(),
+                                      FreePort());
+  for (int round = 0; round < 50; ++round) {
+    asio::ip::tcp::acceptor acceptor(io, where);
+    EdgeChild child("/bin/true", "", fixture.m_folder / "log");
+    child.Start();
+    acceptor.close();
+    std::error_code error;
+    acceptor.open(where.protocol());
+    acceptor.set_option(asio::socket_base::reuse_address(true));
+    acceptor.bind(where, error);
+    cr_assert(!error, "round %d: %s", round, error.message().c_str());
+    while (!child.Poll().m_has_exited) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank::soak
