Read loads of servers that tell more than three figures

Callers saw nothing of it by itself: where servers tell a fourth figure, how long work takes on their machine, the whole report was dropped, and a VM knew the load of no server. Cause: exactly three figures were taken. Change: three or more are read, the fourth is kept, what follows is ignored, so that another figure will not drop the report again. Whether the fourth figure should weigh in the choice of a server is not decided here; it changes many times a second, and a VM meets a server every few seconds.

--- a/src/proxy/reply_judge_func.h
+++ b/src/proxy/reply_judge_func.h
@@ -15,7 +15,8 @@
 /// What the end of a send proves and tells of the server.
 AttemptReport JudgeReply(const ServerReply& reply, const ProxyNames& names);
 
-/// Reads "RUNNING,WAITING,SLOTS"; nothing where the text is anything else.
+/// Reads "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,WORK_PERCENT".
+/// Further whole numbers are ignored; nothing where the text is anything else.
 std::optional<ReportedLoad> ParseLoad(const std::string& text);
 
 }  // namespace sorrelplank
--- a/src/steer/attempt_report_type.h
+++ b/src/steer/attempt_report_type.h
@@ -36,6 +36,9 @@
   uint32_t m_running = 0;
   uint32_t m_waiting = 0;
   uint32_t m_slots = 0;
+  /// How long work takes on the server's machine at that moment, in percent of
+  /// the usual; absent where the server does not tell.
+  std::optional<uint32_t> m_work_percent{};
 };
 
 /// End of a send with what was learned from it.
