Look at servers out of the ordinary only, not at all of them

What callers saw: none alone; every VM spent processor time that grows with the fleet's servers, whatever it was asked, and a tenth of a core is all that the small ones have. Cause: ten times a second each server of each region was looked at to measure loads and reach; each request ranked every server of its region by a hash; all were asked for untold loads four times a second and more; a change of any VM made all cold servers weigh all VMs anew. Change: ServerRoster keeps sums of slots by failure domain and looks only at servers that are cold, paused, leaving or gone, or told a load in the last 3 s; ObjectOrder keeps the first eight servers of the objects that are asked for; ColdSenders looks at a server's own domain and keeps its answer until a VM of it joins or leaves. Choices are the same as before: where too few of the eight may take a request, all are ranked as they were. Figures: servers looked at in a second of ticks are the same number with 300, 600 and 1,200 servers; a request of an object that was asked for before looks at eight at most; VMs weighed for 120 cold servers with 30, 60 and 120 VMs: 400 each time. Tests count it (SteeringWork), and compare the kept order with a fresh ranking over 2,000 steps in which servers come and go.

--- /dev/null
+++ b/src/steer/cold_senders.cc
@@ -0,0 +1,107 @@
+/// @file cold_senders.cc Groups of VMs, and answers that are kept.
+
+#include "steer/cold_senders.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "steer/server_entry_type.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Answers that are kept; beyond it they are found anew.
+constexpr size_t kMostAnswers = 16384;
+
+uint64_t Weight(uint64_t seed, const std::string& name) {
+  return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
+
+uint64_t NameWeight(const std::string& a, const std::string& b) {
+  return Weight(Weight(0, a), b);
+}
+
+}  // namespace
+
+ColdSenders::ColdSenders(std::map<std::string, std::string> regions,
+                         std::string own_vm)
+    : m_regions(std::move(regions)), m_own_vm(std::move(own_vm)) {
+  for (const auto& [domain, region] : m_regions) {
+    m_domains[domain];
+    m_by_region[region];
+  }
+}
+
+void ColdSenders::SetFleet(const std::vector<FleetMember>& fleet) {
+  std::map<std::string, std::vector<std::string>> domains;
+  std::map<std::string, std::vector<std::string>> regions;
+  std::vector<std::string> all;
+  for (const FleetMember& member : fleet) {
+    domains[member.m_failure_domain].push_back(member.m_vm);
+    regions[member.m_region].push_back(member.m_vm);
+    all.push_back(member.m_vm);
+  }
+  for (auto& [domain, group] : m_domains) {
+    Replace(group, std::move(domains[domain]));
+  }
+  for (auto& [region, group] : m_by_region) {
+    Replace(group, std::move(regions[region]));
+  }
+  Replace(m_all, std::move(all));
+}
+
+void ColdSenders::Replace(Group& group, std::vector<std::string> vms) {
+  if (group.m_vms != vms) {
+    group.m_vms = std::move(vms);
+    group.m_generation = m_next_generation++;
+  }
+}
+
+const ColdSenders::Group& ColdSenders::GroupOf(
+    const std::string& failure_domain) const {
+  const auto domain = m_domains.find(failure_domain);
+  if (domain == m_domains.end()) {
+    return m_all;
+  }
+  if (!domain->second.m_vms.empty()) {
+    return domain->second;
+  }
+  const Group& region = m_by_region.at(m_regions.at(failure_domain));
+  return region.m_vms.empty() ? m_all : region;
+}
+
+bool ColdSenders::IsOwn(const ServerEntry& server) {
+  const Group& group = GroupOf(server.m_failure_domain);
+  const auto known = m_answers.find(server.m_instance);
+  const bool is_known = known != m_answers.end() &&
+                        known->second.m_group == &group &&
+                        known->second.m_generation == group.m_generation;
+  if (is_known) {
+    return known->second.m_is_own;
+  }
+  if (m_answers.size() >= kMostAnswers) {
+    m_answers.clear();
+  }
+  const bool is_own = FindIsOwn(server, group);
+  m_answers[server.m_instance] = {&group, group.m_generation, is_own};
+  return is_own;
+}
+
+bool ColdSenders::FindIsOwn(const ServerEntry& server, const Group& group) {
+  const bool is_among_them = std::find(group.m_vms.begin(), group.m_vms.end(),
+                                       m_own_vm) != group.m_vms.end();
+  if (!is_among_them) {
+    return false;
+  }
+  m_weighed += group.m_vms.size();
+  const uint64_t own = NameWeight(server.m_instance, m_own_vm);
+  return std::none_of(group.m_vms.begin(), group.m_vms.end(),
+                      [&](const std::string& vm) {
+                        return NameWeight(server.m_instance, vm) < own;
+                      });
+}
+
+}  // namespace sorrelplank
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -2,8 +2,6 @@
 
 #include "steer/server_picker.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -11,6 +9,7 @@
 
 #include "steer/routing_table_type.h"
 #include "steer/server_limits.h"
+#include "steer/server_roster.h"
 #include "steer/server_track.h"
 
 namespace sorrelplank {
@@ -31,14 +30,6 @@
 /// for the only one. Longer than the store's slowest watch.
 constexpr Duration kMemberBeforeCold = seconds(2);
 
-uint64_t Weight(uint64_t seed, const std::string& name) {
-  return XXH3_64bits_withSeed(name.data(), name.size(), seed);
-}
-
-uint64_t NameWeight(const std::string& a, const std::string& b) {
-  return Weight(Weight(0, a), b);
-}
-
 bool WasTried(const PickNeed& need, const std::string& instance) {
   return need.m_tried != nullptr &&
          std::find(need.m_tried->begin(), need.m_tried->end(), instance) !=
@@ -64,11 +55,11 @@
 }  // namespace
 
 ServerPicker::ServerPicker(const SteeringSettings& settings)
-    : m_settings(settings) {}
+    : m_settings(settings), m_cold_senders(settings.m_regions, settings.m_vm) {}
 
 void ServerPicker::SetFleet(std::vector<FleetMember> fleet, TimePoint now) {
   m_fleet = std::move(fleet);
-  m_cold_senders.clear();
+  m_cold_senders.SetFleet(m_fleet);
   m_vms_in_region = static_cast<size_t>(std::count_if(
       m_fleet.begin(), m_fleet.end(), [this](const FleetMember& member) {
         return member.m_region == m_settings.m_region;
@@ -116,6 +107,13 @@
          RateLimit(server, rules, now) != 0U;
 }
 
+bool ServerPicker::Rests(const ServerTrack& server,
+                         const PickNeed& need,
+                         TimePoint now) const {
+  return server.IsResting(now, need.m_usual) ||
+         IsBreakerOpen(server.Entry().m_failure_domain, now);
+}
+
 ServerPicker::Ranked ServerPicker::Rank(
     const std::vector<ServerTrack*>& servers,
     const PickNeed& need,
@@ -131,12 +129,11 @@
     const double load = need.m_keeps_objects_together
                             ? 0
                             : server->Occupancy(now) / entry.m_slots;
-    const bool is_resting = server->IsResting(now, need.m_usual) ||
-                            IsBreakerOpen(entry.m_failure_domain, now);
+    const bool is_resting = Rests(*server, need, now);
     // Resting servers come last instead of dropping out: where all rest, the
     // cause is likely not theirs, and refusing everything would be worse.
     places.emplace_back(is_resting, load,
-                        ~Weight(need.m_object, entry.m_instance), server);
+                        ~ObjectWeight(need.m_object, entry.m_instance), server);
   }
   std::sort(places.begin(), places.end());
   Ranked ranked;
@@ -147,17 +144,47 @@
   return ranked;
 }
 
-Choice ServerPicker::Pick(const std::vector<ServerTrack*>& servers,
+Choice ServerPicker::Pick(ServerRoster& servers,
                           const ServiceRules& rules,
                           const PickNeed& need,
                           TimePoint now) const {
-  const Ranked ranked = Rank(servers, need, now);
+  if (need.m_keeps_objects_together) {
+    const auto choice = PickAmongFirst(servers, rules, need, now);
+    if (choice) {
+      return *choice;
+    }
+  }
+  servers.CountLookedAt(servers.All().size());
+  size_t considered = 0;
+  return PickInOrder(Rank(servers.All(), need, now), rules, need, considered,
+                     now);
+}
+
+std::optional<Choice> ServerPicker::PickAmongFirst(ServerRoster& servers,
+                                                   const ServiceRules& rules,
+                                                   const PickNeed& need,
+                                                   TimePoint now) const {
+  Ranked awake = servers.FirstOf(need.m_object);
+  servers.CountLookedAt(awake.size());
+  std::erase_if(awake, [&](const ServerTrack* server) {
+    return !IsUsable(*server) || WasTried(need, server->Entry().m_instance) ||
+           Rests(*server, need, now);
+  });
+  size_t considered = 0;
+  const Choice choice = PickInOrder(awake, rules, need, considered, now);
+  return considered == kChoicesOfObject ? std::optional(choice) : std::nullopt;
+}
+
+Choice ServerPicker::PickInOrder(const Ranked& ranked,
+                                 const ServiceRules& rules,
+                                 const PickNeed& need,
+                                 size_t& considered,
+                                 TimePoint now) const {
   const size_t choices =
       need.m_keeps_objects_together ? kChoicesOfObject : ranked.size();
   Choice best;
   double first_time = 0;
   double free_time = 0;
-  size_t considered = 0;
   for (ServerTrack* server : ranked) {
     if (AsksForNone(*server, need, now)) {
       ++best.m_passed_over;
@@ -168,9 +195,10 @@
     if (!may_send) {
       continue;
     }
-    if (considered++ == choices) {
+    if (considered == choices) {
       break;
     }
+    ++considered;
     const double limit = server->OccupancyLimit(now, need.m_usual);
     const double surplus =
         server->Occupancy(now) + server->Waiting() + 1 - limit;
@@ -226,32 +254,7 @@
       now - m_member_since < kMemberBeforeCold) {
     return false;
   }
-  const ServerEntry& entry = server.Entry();
-  const auto key = std::pair(entry.m_instance, entry.m_failure_domain);
-  auto known = m_cold_senders.find(key);
-  if (known == m_cold_senders.end()) {
-    const bool is_sender = ColdSenderOf(entry) == m_settings.m_vm;
-    known = m_cold_senders.emplace(key, is_sender).first;
-  }
-  return known->second;
-}
-
-std::string ServerPicker::ColdSenderOf(const ServerEntry& entry) const {
-  const auto region = m_settings.m_regions.find(entry.m_failure_domain);
-  using Rank = std::tuple<bool, bool, uint64_t>;
-  const FleetMember* best = nullptr;
-  Rank best_rank;
-  for (const FleetMember& member : m_fleet) {
-    const bool is_region = region != m_settings.m_regions.end() &&
-                           member.m_region == region->second;
-    const Rank rank(member.m_failure_domain != entry.m_failure_domain,
-                    !is_region, NameWeight(entry.m_instance, member.m_vm));
-    if (best == nullptr || rank < best_rank) {
-      best = &member;
-      best_rank = rank;
-    }
-  }
-  return best == nullptr ? "" : best->m_vm;
+  return m_cold_senders.IsOwn(server.Entry());
 }
 
 }  // namespace sorrelplank
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -8,10 +8,10 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "core/time_type.h"
+#include "steer/cold_senders.h"
 #include "steer/domain_breaker.h"
 #include "steer/fleet_member_type.h"
 #include "steer/steering_settings_type.h"
@@ -20,6 +20,7 @@
 namespace sorrelplank {
 
 class ServerLimits;
+class ServerRoster;
 class ServerTrack;
 struct ServerEntry;
 struct ServiceRules;
@@ -69,6 +70,8 @@
   bool IsCutOff() const { return m_is_cut_off; }
 
   const std::vector<FleetMember>& Fleet() const { return m_fleet; }
+  /// VMs that were weighed so far to find who sends to cold servers.
+  uint64_t VmsWeighed() const { return m_cold_senders.Weighed(); }
   bool IsEvacuated(const std::string& domain) const;
 
   /// Whether requests may be sent to the server at all.
@@ -84,12 +87,14 @@
                      const ServiceRules& rules,
                      TimePoint now) const;
 
+  bool IsBreakerOpen(const std::string& domain, TimePoint now) const;
+
   /// The breaker of a failure domain.
   DomainBreaker& Breaker(const std::string& domain) {
     return m_breakers[domain];
   }
 
-  Choice Pick(const std::vector<ServerTrack*>& servers,
+  Choice Pick(ServerRoster& servers,
               const ServiceRules& rules,
               const PickNeed& need,
               TimePoint now) const;
@@ -102,31 +107,41 @@
 
  private:
   using Ranked = std::vector<ServerTrack*>;
+  /// Whether the server, or its whole failure domain, should be left alone
+  /// while others can take the request.
+  bool Rests(const ServerTrack& server,
+             const PickNeed& need,
+             TimePoint now) const;
   /// Usable servers in the order of choice.
   Ranked Rank(const std::vector<ServerTrack*>& servers,
               const PickNeed& need,
               TimePoint now) const;
+  /// Chooses among the servers that an object prefers; nothing where too few of
+  /// them can take the request.
+  std::optional<Choice> PickAmongFirst(ServerRoster& servers,
+                                       const ServiceRules& rules,
+                                       const PickNeed& need,
+                                       TimePoint now) const;
+  /// Chooses among the first servers of the order that take the request; counts
+  /// in `considered` how many did.
+  Choice PickInOrder(const Ranked& ranked,
+                     const ServiceRules& rules,
+                     const PickNeed& need,
+                     size_t& considered,
+                     TimePoint now) const;
 
   uint32_t ColdLimit(const ServiceRules& rules) const;
   uint32_t CutOffLimit(const ServiceRules& rules) const;
   /// Whether this VM is the one that sends to a cold server.
   bool IsColdSender(const ServerTrack& server, TimePoint now) const;
-  /// The one VM that sends to the server while it is cold.
-  std::string ColdSenderOf(const ServerEntry& entry) const;
-
-  bool IsBreakerOpen(const std::string& domain, TimePoint now) const;
 
   const SteeringSettings& m_settings;
   std::map<std::string, DomainBreaker> m_breakers;
   std::vector<FleetMember> m_fleet;
   /// Entry VMs of the own region.
   size_t m_vms_in_region = 0;
-  /// Whether this VM is the one that sends to a cold server, by its instance
-  /// and failure domain, in the fleet as it is. With 300 VMs and 3,000 cold
-  /// servers each measurement of the regions took 18.8 ms where it was found
-  /// anew, of the 10 ms that a tenth of a core has in that time; 0.9 ms now
-  /// (mean of 50, `make bench BENCH=steering`).
-  mutable std::map<std::pair<std::string, std::string>, bool> m_cold_senders;
+  /// Keeps answers.
+  mutable ColdSenders m_cold_senders;
   TimePoint m_member_since = TimePoint::max();
   std::set<std::string> m_evacuated;
   bool m_is_cut_off = false;
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "steer/server_picker.h"
 
@@ -38,7 +39,21 @@
 
 void SteeredService::AddServer(const std::shared_ptr<ServerTrack>& server) {
   m_servers[server->Entry().m_instance] = server;
-  m_by_region[server->Region()].push_back(server.get());
+  ListOf(*server).Add(server.get());
+}
+
+void SteeredService::UpdateServer(ServerTrack& server,
+                                  ServerEntry entry,
+                                  TimePoint now) {
+  ListOf(server).Update(&server, std::move(entry), now);
+}
+
+uint64_t SteeredService::ServersLookedAt() const {
+  uint64_t servers = 0;
+  for (const ServerRoster& list : m_by_region) {
+    servers += list.LookedAt();
+  }
+  return servers;
 }
 
 void SteeredService::RemoveServer(const std::string& instance) {
@@ -46,9 +61,7 @@
   if (it == m_servers.end()) {
     return;
   }
-  for (auto& servers : m_by_region) {
-    std::erase(servers, it->second.get());
-  }
+  ListOf(*it->second).Remove(it->second.get());
   m_servers.erase(it);
 }
 
@@ -88,28 +101,10 @@
                                   double most_shift_per_second,
                                   const MovedAwayBounds& bounds,
                                   TimePoint now) {
-  std::vector<RegionLoad> loads(m_by_region.size());
-  for (size_t region = 0; region < loads.size(); ++region) {
-    double load = 0;
-    double told_slots = 0;
-    for (const ServerTrack* server : m_by_region[region]) {
-      if (!picker.IsUsable(*server)) {
-        continue;
-      }
-      loads[region].m_slots += server->Entry().m_slots;
-      if (picker.IsWithinReach(*server, rules, now)) {
-        loads[region].m_slots_within_reach += server->Entry().m_slots;
-      }
-      const auto recent = server->RecentLoad(now);
-      if (recent) {
-        told_slots += server->Entry().m_slots;
-        load += *recent + server->Waiting();
-      }
-    }
-    loads[region].m_is_known = told_slots > 0;
-    if (told_slots > 0) {
-      loads[region].m_utilisation = load / told_slots;
-    }
+  std::vector<RegionLoad> loads;
+  loads.reserve(m_by_region.size());
+  for (ServerRoster& servers : m_by_region) {
+    loads.push_back(servers.Measure(picker, rules, now));
   }
   m_shares.Update(loads, most_shift_per_second, bounds, now);
 }
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -17,6 +17,7 @@
 #include "steer/region_shares.h"
 #include "steer/region_times.h"
 #include "steer/retry_allowance.h"
+#include "steer/server_roster.h"
 #include "steer/server_track.h"
 
 namespace sorrelplank {
@@ -32,9 +33,15 @@
 
   void AddServer(const std::shared_ptr<ServerTrack>& server);
   void RemoveServer(const std::string& instance);
-  const std::vector<ServerTrack*>& ServersOf(size_t region) const {
-    return m_by_region[region];
+  /// Takes a newer entry of the same run of a server.
+  void UpdateServer(ServerTrack& server, ServerEntry entry, TimePoint now);
+  ServerRoster& ServersOf(size_t region) { return m_by_region[region]; }
+  /// The servers' list that the server is in.
+  ServerRoster& ListOf(const ServerTrack& server) {
+    return m_by_region[server.Region()];
   }
+  /// Servers that were looked at so far to measure regions and to rank.
+  uint64_t ServersLookedAt() const;
 
   /// Notes the end of a send.
   void CountEnd(const ServerTrack& server, const AttemptReport& report);
@@ -63,7 +70,7 @@
 
  private:
   size_t m_own;
-  std::vector<std::vector<ServerTrack*>> m_by_region;
+  std::vector<ServerRoster> m_by_region;
   std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
   RegionShares m_shares;
   double m_told_share = 1;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -209,9 +209,8 @@
   Place(request, now);
 }
 
-const std::vector<ServerTrack*>* Steering::Candidates(
-    const SteeredRequest& request,
-    PickNeed& need) {
+ServerRoster* Steering::Candidates(const SteeredRequest& request,
+                                   PickNeed& need) {
   SteeredService& service = Service(request.m_service);
   const size_t region = service.Shares().RegionOf(request.m_facts.m_object,
                                                   request.m_allowed_regions);
@@ -228,7 +227,7 @@
 
 Choice Steering::Choose(SteeredRequest& request, TimePoint now) {
   PickNeed need;
-  const auto* servers = Candidates(request, need);
+  ServerRoster* const servers = Candidates(request, need);
   if (servers == nullptr) {
     return {};
   }
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -120,6 +120,8 @@
   size_t LimitsKept() const { return m_server_limits.KeptCount(); }
   size_t QuotasKept() const { return m_quota_keeper.Count(); }
   size_t ServerCount() const { return m_servers.size(); }
+  /// Servers that decisions looked at so far.
+  uint64_t ServersLookedAt() const;
   size_t WaitingCount() const;
   const ServerPicker& Picker() const { return m_picker; }
   const SteeringSettings& Settings() const { return m_settings; }
@@ -164,8 +166,7 @@
   void StopAwaitingToken(SteeredRequest& request);
   Choice Choose(SteeredRequest& request, TimePoint now);
   /// Servers of the request's region, and what it needs of them.
-  const std::vector<ServerTrack*>* Candidates(const SteeredRequest& request,
-                                              PickNeed& need);
+  ServerRoster* Candidates(const SteeredRequest& request, PickNeed& need);
   /// Sends if the limits allow it, or holds the request for a token of the
   /// server's limit; spends from the retry budget for a second send.
   bool TrySend(SteeredRequest& request, ServerTrack* server, TimePoint now);
@@ -250,6 +251,8 @@
   std::map<std::string, std::unique_ptr<SteeredService>> m_services;
   std::map<std::string, std::shared_ptr<ServerTrack>> m_servers;
   std::unordered_map<NameHash, std::shared_ptr<ServerTrack>> m_servers_by_hash;
+  /// Servers that told this VM their load since TakeUntoldLoads was asked.
+  std::set<std::string> m_untold;
   RequestMap m_requests;
   uint64_t m_next_attempt = 1;
   bool m_refuses_new = false;
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -66,12 +66,12 @@
 Duration Steering::UntilServerTakes(const SteeredRequest& request,
                                     TimePoint now) {
   PickNeed need;
-  const auto* servers = Candidates(request, need);
+  const ServerRoster* const servers = Candidates(request, need);
   if (servers == nullptr) {
     return {};
   }
   std::optional<Duration> first;
-  for (const ServerTrack* server : *servers) {
+  for (const ServerTrack* server : servers->All()) {
     if (m_picker.IsUsable(*server)) {
       const Duration left =
           std::max<Duration>(server->Notices().PausedUntil() - now,
@@ -131,8 +131,14 @@
   const uint32_t failures = server.FailuresInRow();
   const ServerNotices notices = server.Notices();
   server.CountEnd(report, now);
-  ApplyNotices(server, notices, now);
   const std::string& instance = server.Entry().m_instance;
+  if (IsListed(server)) {
+    ServerRoster& list = Service(server.Entry().m_service).ListOf(server);
+    list.NoteStanding(&server);
+    list.NoteReport(&server);
+    m_untold.insert(instance);
+  }
+  ApplyNotices(server, notices, now);
   if (server.FailuresInRow() > failures && server.IsResting(now, usual)) {
     m_sink(BeliefChanged{"server_rests", instance,
                          static_cast<double>(server.FailuresInRow())});
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -71,7 +71,7 @@
     return ServerChange::kUnknownDomain;
   }
   if (known && IsSameRun(entry, known->Entry())) {
-    known->Update(entry, now);
+    Service(entry.m_service).UpdateServer(*known, entry, now);
     return ServerChange::kUpdated;
   }
   RemoveServer(entry.m_instance, now);
@@ -114,12 +114,17 @@
 
 std::vector<ServerLoad> Steering::TakeUntoldLoads(TimePoint now) {
   std::vector<ServerLoad> loads;
-  for (const auto& [instance, server] : m_servers) {
-    const auto load = server->TakeUntoldLoad(now);
+  for (const std::string& instance : m_untold) {
+    const auto server = m_servers.find(instance);
+    if (server == m_servers.end()) {
+      continue;
+    }
+    const auto load = server->second->TakeUntoldLoad(now);
     if (load) {
       loads.push_back(*load);
     }
   }
+  m_untold.clear();
   return loads;
 }
 
@@ -127,7 +132,9 @@
   for (const ServerLoad& load : loads) {
     const auto it = m_servers_by_hash.find(load.m_server);
     if (it != m_servers_by_hash.end()) {
-      it->second->TakeReport(load.m_load, load.m_age, now);
+      ServerTrack& server = *it->second;
+      server.TakeReport(load.m_load, load.m_age, now);
+      Service(server.Entry().m_service).ListOf(server).NoteReport(&server);
     }
   }
 }
@@ -141,7 +148,9 @@
     if (returns) {
       // Its servers may have turned cold while nothing was sent to them, and
       // their entries say so only some time later.
-      server->MarkCold(RulesOf(server->Entry().m_service).m_cold_start, now);
+      const std::string& service = server->Entry().m_service;
+      server->MarkCold(RulesOf(service).m_cold_start, now);
+      Service(service).ListOf(*server).NoteStanding(server.get());
     }
   }
   m_picker.SetEvacuated(domains);
@@ -189,6 +198,14 @@
   return homes;
 }
 
+uint64_t Steering::ServersLookedAt() const {
+  uint64_t servers = 0;
+  for (const auto& [name, service] : m_services) {
+    servers += service->ServersLookedAt();
+  }
+  return servers;
+}
+
 size_t Steering::WaitingCount() const {
   size_t count = 0;
   for (const auto& [name, service] : m_services) {
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -206,6 +206,11 @@
   CountEnd(*server, report, now);
   if (report.m_end == AttemptEnd::kWrongInstance) {
     server->MarkGone();
+    if (IsListed(*server)) {
+      Service(server->Entry().m_service)
+          .ListOf(*server)
+          .NoteStanding(server.get());
+    }
   }
   request.m_live.erase(live);
   if (report.m_end == AttemptEnd::kNotSent) {
--- /dev/null
+++ b/tests/steering_work_test.cc
@@ -0,0 +1,162 @@
+/// @file steering_work_test.cc What decisions look at as the fleet grows.
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "steer/cold_senders.h"
+#include "steer/object_order.h"
+#include "steer/server_track.h"
+#include "tests/steering_fixture.h"
+
+namespace sorrelplank {
+namespace {
+
+constexpr size_t kFewServers = 300;
+constexpr uint64_t kObjects = 20;
+
+/// Decisions of one VM among so many servers, of which it hears from a few.
+struct WorkFixture {
+  SteeringFixture m_vm;
+
+  explicit WorkFixture(size_t servers) {
+    for (size_t number = 0; number < servers; ++number) {
+      m_vm.PutServer("i-" + std::to_string(number),
+                     "d" + std::to_string(number % 3 + 1));
+    }
+    m_vm.Pass(seconds(1));
+  }
+
+  uint64_t WorkOfTicks() {
+    const uint64_t before = m_vm.m_steering.ServersLookedAt();
+    m_vm.Pass(seconds(1));
+    return m_vm.m_steering.ServersLookedAt() - before;
+  }
+
+  void Ask() {
+    for (uint64_t object = 1; object <= kObjects; ++object) {
+      m_vm.Arrive("/read/", object);
+    }
+  }
+
+  uint64_t WorkOfRequests() {
+    Ask();
+    const uint64_t before = m_vm.m_steering.ServersLookedAt();
+    Ask();
+    return m_vm.m_steering.ServersLookedAt() - before;
+  }
+};
+
+ServerEntry MakeEntry(const std::string& instance, const std::string& domain) {
+  return {instance, "s", {1, 80}, domain, 2, false, {}, {}};
+}
+
+std::vector<FleetMember> MakeFleet(size_t vms, size_t domains) {
+  std::vector<FleetMember> fleet;
+  for (size_t number = 0; number < vms; ++number) {
+    fleet.push_back({"vm-" + std::to_string(number), "10.0.0.1:80",
+                     "d" + std::to_string(number % domains), "r"});
+  }
+  return fleet;
+}
+
+std::map<std::string, std::string> MakeRegions(size_t domains) {
+  std::map<std::string, std::string> regions;
+  for (size_t domain = 0; domain < domains; ++domain) {
+    regions["d" + std::to_string(domain)] = "r";
+  }
+  return regions;
+}
+
+TestSuite(SteeringWork);
+
+// Guards against ticks that look at every server: they took a small VM's
+// processor in a large fleet.
+Test(SteeringWork, Ticks_ServersGrowFourfold_LookAtNoMore) {
+  const uint64_t few = WorkFixture(kFewServers).WorkOfTicks();
+  cr_expect_eq(WorkFixture(2 * kFewServers).WorkOfTicks(), few);
+  cr_expect_eq(WorkFixture(4 * kFewServers).WorkOfTicks(), few);
+}
+
+// Guards against ranking every server of a region for each request.
+Test(SteeringWork, RequestsOfKnownObjects_ServersGrowFourfold_LookAtNoMore) {
+  const uint64_t few = WorkFixture(kFewServers).WorkOfRequests();
+  cr_expect_leq(few, kObjects * ObjectOrder::kKept);
+  cr_expect_leq(WorkFixture(2 * kFewServers).WorkOfRequests(), few);
+  cr_expect_leq(WorkFixture(4 * kFewServers).WorkOfRequests(), few);
+}
+
+// Guards against an order that differs from a fresh ranking after servers came
+// and went: two VMs would then send an object to different servers.
+Test(SteeringWork, ObjectOrder_ServersComeAndGo_IsThatOfAFreshRanking) {
+  std::mt19937 random(7);
+  ObjectOrder kept;
+  std::vector<std::unique_ptr<ServerTrack>> tracks;
+  std::vector<ServerTrack*> all;
+  for (int step = 0; step < 2000; ++step) {
+    const bool adds = all.empty() || random() % 100 < 52;
+    if (adds) {
+      tracks.push_back(std::make_unique<ServerTrack>(
+          MakeEntry("i-" + std::to_string(step), "d1"), 0, TimePoint{}));
+      all.push_back(tracks.back().get());
+      kept.Add(all.back());
+    } else {
+      const auto gone =
+          all.begin() + static_cast<std::ptrdiff_t>(random() % all.size());
+      kept.Remove(*gone);
+      all.erase(gone);
+    }
+    const uint64_t object = random() % 5;
+    const auto order = kept.FirstOf(object, all);
+    const auto fresh = ObjectOrder().FirstOf(object, all);
+    cr_assert_geq(order.size(), std::min<size_t>(4, all.size()));
+    cr_assert_leq(order.size(), fresh.size());
+    cr_assert(std::equal(order.begin(), order.end(), fresh.begin()),
+              "step %d, object %lu", step, static_cast<unsigned long>(object));
+  }
+}
+
+// Guards against weighing every VM of the fleet for each cold server, and
+// against doing so anew when a VM far away restarts.
+Test(SteeringWork, ColdServers_FleetGrows_OnlyTheirDomainIsWeighed) {
+  for (const size_t domains : {3U, 6U, 12U}) {
+    ColdSenders senders(MakeRegions(domains), "vm-0");
+    auto fleet = MakeFleet(10 * domains, domains);
+    senders.SetFleet(fleet);
+    const auto ask = [&] {
+      for (int number = 0; number < 120; ++number) {
+        senders.IsOwn(MakeEntry("i-" + std::to_string(number),
+                                "d" + std::to_string(number % 3)));
+      }
+    };
+    ask();
+    cr_expect_eq(senders.Weighed(), 40U * 10, "%zu domains", domains);
+    fleet.erase(fleet.begin() + 1);
+    senders.SetFleet(fleet);
+    ask();
+    cr_expect_eq(senders.Weighed(), 40U * 10, "%zu domains", domains);
+  }
+}
+
+// Guards against a cold server that two VMs send to, or none.
+Test(SteeringWork, ColdServers_DomainWithAndWithoutVms_HaveOneSender) {
+  const auto fleet = MakeFleet(20, 4);
+  auto regions = MakeRegions(4);
+  regions["empty"] = "r";
+  for (const std::string domain : {"d1", "empty"}) {
+    size_t senders = 0;
+    for (const FleetMember& member : fleet) {
+      ColdSenders one(regions, member.m_vm);
+      one.SetFleet(fleet);
+      senders += one.IsOwn(MakeEntry("i-7", domain)) ? 1 : 0;
+    }
+    cr_expect_eq(senders, 1U, "%s", domain.c_str());
+  }
+}
+
+}  // namespace
+}  // namespace sorrelplank
