Send clients to the largest VMs of their own failure domain

What callers saw: in a region with more than 64 VMs all clients were sent to the 64 whose names come first, all of one failure domain and nine in ten of them with a tenth of a core; the domain's loss would have met all of them, and each look-up copied the whole fleet. The function's comment promised the own domain first. Change: where a region has more VMs than an answer may name, clients get the largest VMs of their own domain, as many as hold a third of its processor and link, eight at least. A VM tells its processor and link in its entry. The choice is kept until the fleet changes (ClientDirectory). Ruled out: naming 64 of the own domain, large ones among them; clients use all addresses alike, and a small VM would get as much as a large one. Regions of 64 VMs or fewer are answered as before. The test of the bound used 100 VMs alike; a third of them is under the bound, so it now uses 300 and expects 64 as before. Tests failing first: own domain used, large VMs carry the load, answer filled from the region where a domain is nearly lost, one VM less changes one address, 300 questions make 3 choices at 150, 300 and 600 VMs.

--- a/src/proxy/directory_func.h
+++ b/src/proxy/directory_func.h
@@ -22,9 +22,14 @@
 /// Most addresses in one answer.
 inline constexpr size_t kMostDirectoryAddresses = 64;
 
-/// Client addresses of the entry VMs of the client's region, those of its
-/// failure domain first; where it has none, those of the home regions, else
-/// all.
+/// The entry VMs of the client's region; where it has none, those of the home
+/// regions, else all. Where they are too many for one answer, the largest of
+/// the client's failure domain.
+std::vector<const FleetMember*> ChooseClientVms(
+    const std::vector<FleetMember>& fleet,
+    const DirectoryQuery& query);
+
+/// Their client addresses.
 std::vector<std::string> ChooseAddresses(const std::vector<FleetMember>& fleet,
                                          const DirectoryQuery& query);
 
--- a/src/proxy/edge_settings.cc
+++ b/src/proxy/edge_settings.cc
@@ -114,6 +114,18 @@
   return bounds;
 }
 
+/// Left out where the VM's size is not known.
+VmCapacity ReadCapacity(const Reader& reader) {
+  VmCapacity capacity;
+  if (reader.Has("cpu_share")) {
+    // Cores may be faster than the usual ones.
+    capacity.m_cores = reader.Number("cpu_share", 0, kMostCount) *
+                       reader.Number("cpu_speed", 0, kMostCount);
+    capacity.m_link_mbps = reader.Number("link_mbps", 0, kMostCount);
+  }
+  return capacity;
+}
+
 SteeringSettings ReadSteering(const Reader& reader) {
   return SteeringSettings{
       .m_vm = reader.Text("vm"),
@@ -145,6 +157,7 @@
   const Reader reader(object, file, "", faults);
   EdgeSettings settings{
       .m_steering = ReadSteering(reader),
+      .m_capacity = ReadCapacity(reader),
       .m_client_address = reader.Address("client_address"),
       .m_ready_address = reader.Address("ready_address"),
       .m_directory_address = reader.Address("directory_address"),
--- a/src/proxy/edge_settings_type.h
+++ b/src/proxy/edge_settings_type.h
@@ -10,12 +10,14 @@
 #include "core/time_type.h"
 #include "core/vm_record_type.h"
 #include "steer/steering_settings_type.h"
+#include "steer/vm_capacity_type.h"
 
 namespace sorrelplank {
 
 /// One field a key of the JSON settings file.
 struct EdgeSettings {
   SteeringSettings m_steering;
+  VmCapacity m_capacity{};
   /// Where clients send requests.
   VmAddress m_client_address;
   /// Where the platform asks whether this VM is ready.
--- a/src/steer/fleet_member_type.h
+++ b/src/steer/fleet_member_type.h
@@ -5,6 +5,8 @@
 
 #include <string>
 
+#include "steer/vm_capacity_type.h"
+
 namespace sorrelplank {
 
 /// One entry VM.
@@ -14,6 +16,7 @@
   std::string m_client_address;
   std::string m_failure_domain;
   std::string m_region;
+  VmCapacity m_capacity{};
 };
 
 }  // namespace sorrelplank
--- a/tests/directory_test.cc
+++ b/tests/directory_test.cc
@@ -2,6 +2,12 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "proxy/client_directory.h"
 #include "proxy/directory_func.h"
 
 namespace sorrelplank {
@@ -35,10 +41,96 @@
 }
 
 Test(Directory, LargeFleet_Answer_StaysWithinItsBound) {
-  const std::vector<FleetMember> fleet(100, kFleet[0]);
+  const std::vector<FleetMember> fleet(300, kFleet[0]);
   cr_assert_eq(ChooseAddresses(fleet, {"north", "d1", {}}).size(),
                kMostDirectoryAddresses);
 }
 
+/// A region of three failure domains, each with one large VM in eleven.
+std::vector<FleetMember> LargeRegion(size_t vms_per_domain) {
+  std::vector<FleetMember> fleet;
+  for (const std::string domain : {"d1", "d2", "d3"}) {
+    for (size_t number = 0; number < vms_per_domain; ++number) {
+      const bool is_large = number % 11 == 0;
+      const std::string vm = domain + "-" + std::to_string(number);
+      fleet.push_back({vm, vm, domain, "north",
+                       is_large ? VmCapacity{0.5, 200} : VmCapacity{0.1, 20}});
+    }
+  }
+  return fleet;
+}
+
+size_t CountWith(const std::vector<std::string>& addresses,
+                 const std::string& prefix) {
+  return static_cast<size_t>(std::count_if(
+      addresses.begin(), addresses.end(),
+      [&](const std::string& one) { return one.starts_with(prefix); }));
+}
+
+// Guards against sending all clients of a region to the VMs of one failure
+// domain, those whose names come first.
+Test(Directory, RegionTooLargeForOneAnswer_OwnDomain_IsUsed) {
+  const auto fleet = LargeRegion(44);
+  for (const std::string domain : {"d1", "d2", "d3"}) {
+    const auto addresses = ChooseAddresses(fleet, {"north", domain, {}});
+    cr_expect_geq(addresses.size(), 8U);
+    cr_expect_eq(CountWith(addresses, domain), addresses.size());
+  }
+}
+
+// Guards against load that goes to small VMs while large ones idle.
+Test(Directory, DomainTooLargeForOneAnswer_LargeVms_CarryTheLoad) {
+  const auto addresses = ChooseAddresses(LargeRegion(110), {"north", "d2", {}});
+  cr_expect_eq(addresses.size(), 10U);
+  for (size_t number = 0; number < 110; number += 11) {
+    const std::string vm = "d2-" + std::to_string(number);
+    cr_expect_eq(std::count(addresses.begin(), addresses.end(), vm), 1);
+  }
+}
+
+// Guards against an answer of one or two VMs after most of a domain was lost.
+Test(Directory, OwnDomainNearlyLost_Answer_IsFilledFromTheRegion) {
+  auto fleet = LargeRegion(60);
+  std::erase_if(fleet, [](const FleetMember& member) {
+    return member.m_failure_domain == "d2" && member.m_vm != "d2-7";
+  });
+  const auto addresses = ChooseAddresses(fleet, {"north", "d2", {}});
+  cr_expect_eq(addresses.size(), 8U);
+  cr_expect_str_eq(addresses.front().c_str(), "d2-7");
+}
+
+// Guards against clients that leave their connections since one VM more or less
+// changes the whole answer.
+Test(Directory, LargeFleet_OneVmLeaves_OneAddressChanges) {
+  const auto fleet = LargeRegion(110);
+  const DirectoryQuery query{"north", "d2", {}};
+  const auto before = ChooseAddresses(fleet, query);
+  auto smaller = fleet;
+  std::erase_if(smaller, [&](const FleetMember& member) {
+    return member.m_client_address == before[5];
+  });
+  const auto after = ChooseAddresses(smaller, query);
+  const auto kept =
+      std::count_if(after.begin(), after.end(), [&](const std::string& one) {
+        return std::find(before.begin(), before.end(), one) != before.end();
+      });
+  cr_expect_geq(kept, static_cast<long>(before.size()) - 1);
+}
+
+// Guards against a choice over the whole fleet for each question of a client.
+Test(Directory, ManyQuestions_FleetUnchanged_AreChosenOnce) {
+  for (const size_t vms : {50, 100, 200}) {
+    ClientDirectory directory;
+    directory.SetFleet(LargeRegion(vms));
+    for (int question = 0; question < 300; ++question) {
+      directory.AddressesFor(
+          {"north", "d" + std::to_string(question % 3 + 1), {}});
+    }
+    cr_expect_eq(directory.Choices(), 3U);
+    directory.SetFleet({});
+    cr_expect(directory.AddressesFor({"north", "d1", {}}).empty());
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank
--- a/tests/edge_answers_test.cc
+++ b/tests/edge_answers_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "platform/edge_answers_func.h"
+#include "proxy/client_directory.h"
 #include "tests/steering_fixture.h"
 
 namespace sorrelplank::platform {
@@ -16,7 +17,9 @@
   HttpRequest m_request;
 
   HttpResponse Ask(const std::vector<FleetMember>& fleet) {
-    return AnswerDirectory(m_request, fleet, m_decisions.m_steering,
+    ClientDirectory directory;
+    directory.SetFleet(fleet);
+    return AnswerDirectory(m_request, directory, m_decisions.m_steering,
                            milliseconds(1500));
   }
 };
