Let the largest VMs of a failure domain watch the store for the others

Cause: relays were chosen by hash, most of them VMs with a tenth of a core and 20 Mbit/s. With ten thousand servers registering, 15 followers are sent some 12 Mbit/s by reckoning; relays answered late, their followers took them for silent, asked the store, whose history no longer reached back to them, and read everything anew, for 4.4 s. Ruled out: the processor (a fifth of it was used), the store (other domains had the version within 0.9 s). Change: relays are the largest VMs; how many followers one has grows with its processor and link, from 15 to 75. Where sizes are not known nothing changes but that 16 VMs have one relay instead of two. Figures: of 990 VMs in nine domains, ten or so large ones in each, 18 watch the store, all of them large (RelayChoice.DomainHasLargerVms); by the rule before it would be 63.

--- a/tests/relay_choice_test.cc
+++ b/tests/relay_choice_test.cc
@@ -66,6 +66,25 @@
   }
 }
 
+// Guards against relays whose link or processor is the smallest of their
+// failure domain: they fell behind while all servers started.
+Test(RelayChoice, DomainHasLargerVms_TheyAreTheRelays) {
+  auto fleet = ChoiceFixture::Fleet(990);
+  size_t number = 0;
+  for (FleetMember& vm : fleet) {
+    const bool is_large = number++ / 9 % 11 == 3;
+    vm.m_capacity = is_large ? VmCapacity{0.5, 200} : VmCapacity{0.1, 20};
+  }
+  size_t relays = 0;
+  for (const FleetMember& vm : fleet) {
+    if (ChooseRelays(fleet, vm, kPort).m_relays.empty()) {
+      ++relays;
+      cr_expect_eq(vm.m_capacity.m_cores, 0.5);
+    }
+  }
+  cr_expect_eq(relays, 18U);
+}
+
 // A relay leaves the fleet. Only its own failure domain chooses another one,
 // and the other relays stay: each change of source is a moment without changes.
 Test(RelayChoice, RelayLeaves_OtherRelaysAndDomains_StayAsTheyWere) {
