Pack the store's events once for all followers of a relay

Cause: each follower's answer was copied out of the log and encoded by itself, and entries of servers, which are alike, went out whole. Change: followers that ask behind the same revision share one EventBatch, which is packed once (protobuf's gzip stream). The path is v2: a relay that packs and a follower that can't unpack do not take each other for answering, and go on by the store. Figures: 100 entries for 10, 20 and 40 followers are copied 100 times and packed once, into 25 bytes each at most (FeedRelay.ManyFollowers_SameEvents).

--- a/tests/feed_relay_test.cc
+++ b/tests/feed_relay_test.cc
@@ -56,7 +56,7 @@
   cr_assert(g_fixture->m_answers.empty());
   g_fixture->AddEvent(11);
   cr_assert_eq(g_fixture->m_answers.size(), 1U);
-  cr_expect_eq(g_fixture->m_answers[0].m_items.size(), 1U);
+  cr_expect_eq(g_fixture->m_answers[0].m_batch->Events().size(), 1U);
   cr_expect_eq(g_fixture->m_answers[0].m_revision.Get(), 11U);
 }
 
@@ -65,7 +65,7 @@
   g_fixture->m_now += seconds(1);
   g_fixture->m_relay.Tick(g_fixture->m_now);
   cr_assert_eq(g_fixture->m_answers.size(), 1U);
-  cr_expect(g_fixture->m_answers[0].m_items.empty());
+  cr_expect(g_fixture->m_answers[0].m_batch->Events().empty());
   cr_expect_eq(g_fixture->m_answers[0].m_age, Duration(seconds(1)));
 }
 
@@ -76,7 +76,7 @@
   cr_assert_eq(g_fixture->m_answers.size(), 1U);
   cr_expect_eq(static_cast<int>(g_fixture->m_answers[0].m_end),
                static_cast<int>(FeedEnd::kDone));
-  cr_expect(g_fixture->m_answers[0].m_items.empty());
+  cr_expect(g_fixture->m_answers[0].m_batch->Events().empty());
 }
 
 // A follower that lies behind what the relay remembers must read the store: the
@@ -97,10 +97,10 @@
     log.Add({{"key", std::string(64U << 10U, 'x'), Revision(revision), false}},
             Revision(revision));
   }
-  cr_expect_not(log.Behind(Revision(1)).has_value());
-  const auto latest = log.Behind(Revision(98));
-  cr_assert(latest.has_value());
-  cr_expect_eq(latest->size(), 2U);
+  cr_expect_null(log.Behind(Revision(1)));
+  const EventBatchPtr latest = log.Behind(Revision(98));
+  cr_assert_not_null(latest);
+  cr_expect_eq(latest->Events().size(), 2U);
 }
 
 // The store falls silent while a follower waits. Kept waiting, it would take
@@ -139,16 +139,19 @@
   reply.m_age = milliseconds(250);
   reply.m_is_lost = true;
   reply.m_answers_for = Duration::zero();
-  reply.m_items.push_back(
-      {"k\xff", std::string("\0\x80\xff", 3), Revision(12), true});
+  const StoreItem sent{"k\xff", std::string("\0\x80\xff", 3), Revision(12),
+                       true};
+  reply.m_batch =
+      std::make_shared<const EventBatch>(std::vector<StoreItem>{sent});
   HttpResult result;
   result.m_end = FetchEnd::kAnswered;
   result.m_response = EncodeFeedReply(reply);
   const FeedReply read = DecodeFeedReply(result);
-  cr_assert_eq(read.m_items.size(), 1U);
-  cr_expect_eq(read.m_items[0].m_key, reply.m_items[0].m_key);
-  cr_expect_eq(read.m_items[0].m_value, reply.m_items[0].m_value);
-  cr_expect(read.m_items[0].m_removed);
+  const auto& events = read.m_batch->Events();
+  cr_assert_eq(events.size(), 1U);
+  cr_expect_eq(events[0].m_key, sent.m_key);
+  cr_expect_eq(events[0].m_value, sent.m_value);
+  cr_expect(events[0].m_removed);
   cr_expect_eq(read.m_age, reply.m_age);
   cr_expect(read.m_is_lost);
   cr_expect(read.m_answers_for.has_value());
@@ -160,7 +163,8 @@
   FeedReply reply;
   reply.m_end = FeedEnd::kDone;
   reply.m_revision = Revision(12);
-  reply.m_items.push_back({"op/config", "value", Revision(12), false});
+  reply.m_batch = std::make_shared<const EventBatch>(
+      std::vector<StoreItem>{{"op/config", "value", Revision(12), false}});
   HttpResult result;
   result.m_end = FetchEnd::kAnswered;
   result.m_response = EncodeFeedReply(reply);
@@ -181,9 +185,36 @@
                static_cast<int>(FeedEnd::kUnanswered));
 }
 
+// Guards against a relay whose work and bytes grow with its followers times the
+// size of what it tells them.
+Test(FeedRelay, ManyFollowers_SameEvents_AreCopiedAndPackedOnce) {
+  for (const size_t followers : {10U, 20U, 40U}) {
+    RelayFixture relay;
+    for (size_t follower = 0; follower < followers; ++follower) {
+      relay.Ask(10, seconds(1));
+    }
+    StoreRead read;
+    read.m_end = StoreEnd::kDone;
+    for (uint64_t number = 11; number <= 110; ++number) {
+      read.m_items.push_back({"servers/i-" + std::to_string(number),
+                              R"({"Service":"s","Zone":"d1","Slots":5})",
+                              Revision(number), false});
+    }
+    read.m_revision = Revision(110);
+    relay.m_relay.Add(read, relay.m_now, relay.m_now);
+    cr_assert_eq(relay.m_answers.size(), followers);
+    cr_expect_eq(relay.m_relay.EventsCopied(), 100U);
+    const std::string& packed = relay.m_answers.front().m_batch->Packed();
+    cr_expect_leq(packed.size(), 100U * 25);
+    for (const FeedReply& reply : relay.m_answers) {
+      cr_expect_eq(reply.m_batch.get(), relay.m_answers.front().m_batch.get());
+    }
+  }
+}
+
 Test(FeedRelay, Query_OverTheWire_IsReadOrRefused) {
   HttpRequest request;
-  request.m_path = "/v1/feed";
+  request.m_path = "/v2/feed";
   request.m_query =
       ParseQuery(EncodeFeedQuery({Revision(77), milliseconds(625)}).substr(9));
   const FeedQuery query = DecodeFeedQuery(request);
