Read everything from a relay at a start, not from the store

Cause: each VM read all keys itself; with VMs and servers growing together, what leaves the store grows with the product of both. Change: a VM reads the entries of its own failure domain (their keys now begin with it), finds its relays by them, and asks one for everything: one answer, packed once for all who ask. A relay that is still reading lets them wait, for 4 s at most; whom no relay can help reads the store as before. A relay that lies behind the VM that asks is not used: it would bring back what was removed since. Keys whose removal a relay holds back are left out, since their removal will not be told again. The simulated fleet serves pages by prefix now; its old reads, links and limits are as they were.

--- a/tests/feed_relay_test.cc
+++ b/tests/feed_relay_test.cc
@@ -17,7 +17,8 @@
 
 /// A relay that has just read everything, at revision 10.
 struct RelayFixture {
-  FeedRelay m_relay;
+  StoreMirror m_mirror;
+  FeedRelay m_relay{m_mirror};
   TimePoint m_now{seconds(5)};
   std::vector<FeedReply> m_answers;
 
--- a/tests/store_fleet.cc
+++ b/tests/store_fleet.cc
@@ -56,16 +56,21 @@
 void StoreFleet::Start(Vm& vm) {
   ++vm.m_run;
   vm.m_known.clear();
+  StoreFollower::Place place{
+      .m_most_lag = kLag,
+      .m_domain_prefix = MemberPrefix(vm.m_member.m_failure_domain),
+      .m_find_relays = [&vm](const std::vector<StoreItem>& entries) {
+        return ChooseRelays(DecodeMembers(entries), vm.m_member, kFeedPort);
+      }};
   vm.m_follower = std::make_unique<StoreFollower>(
-      m_log, kLag, static_cast<uint32_t>(vm.m_number + 1),
+      m_log, std::move(place), static_cast<uint32_t>(vm.m_number + 1),
       [this, &vm](const StoreMirror::Changes& changes) {
         TakeChanges(vm, changes);
       });
   Do(vm, vm.m_follower->Start(m_queue.Now()));
   Tick(vm, vm.m_run);
-  Later(vm, kStoreTrip, [this, &vm] {
-    Put(kFleetPrefix + vm.m_member.m_vm, EncodeMember(vm.m_member));
-  });
+  Later(vm, kStoreTrip,
+        [this, &vm] { Put(KeyOf(vm.m_member), EncodeMember(vm.m_member)); });
 }
 
 void StoreFleet::Restart(size_t vm) {
@@ -165,8 +170,10 @@
                                  Revision(m_history[at].m_revision.Get() - 1));
     }
   }
-  for (auto it = m_items.upper_bound(page.m_behind); it != m_items.end();
-       ++it) {
+  const std::string begin = std::max(page.m_prefix, page.m_behind);
+  for (auto it = page.m_behind.empty() ? m_items.lower_bound(begin)
+                                       : m_items.upper_bound(begin);
+       it != m_items.end() && it->first.starts_with(page.m_prefix); ++it) {
     if (read.m_items.size() == kPageItems) {
       read.m_has_more = true;
       break;
@@ -175,6 +182,7 @@
       read.m_items.push_back(it->second);
     }
   }
+  m_items_read += read.m_items.size();
   Later(vm, kStoreTrip, [take, read] { take(read); });
 }
 
@@ -236,11 +244,11 @@
                                   [&](const std::unique_ptr<Vm>& other) {
                                     return other->m_address == query.m_relay;
                                   });
-  Later(vm, query.m_wait + kRelaySlack, [take] { take(FeedReply()); });
+  Later(vm, query.m_query.m_wait + kRelaySlack, [take] { take(FeedReply()); });
   Vm& other = **relay;
   Later(other, kVmTrip, [this, &vm, &other, query, take] {
     other.m_follower->Relay().Ask(
-        {query.m_behind, query.m_wait},
+        query.m_query,
         [this, &vm, &other, take](const FeedReply& reply) {
           if (!other.m_faults.m_drops_answers) {
             Later(vm, kVmTrip, [take, reply] { take(reply); });
--- a/tests/store_fleet.h
+++ b/tests/store_fleet.h
@@ -65,6 +65,8 @@
   bool HasRegressed() const { return m_has_regressed; }
 
   uint64_t Calls() const { return m_calls; }
+  /// Keys in the pages that VMs read from the store.
+  uint64_t ItemsRead() const { return m_items_read; }
 
  private:
   struct Vm {
@@ -109,6 +111,7 @@
   std::vector<std::unique_ptr<Vm>> m_vms;
   DecisionLog m_log;
   uint64_t m_calls = 0;
+  uint64_t m_items_read = 0;
   size_t m_most_lost_at_once = 0;
   bool m_has_regressed = false;
 };
--- a/tests/store_fleet_test.cc
+++ b/tests/store_fleet_test.cc
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 
@@ -241,5 +242,72 @@
   cr_expect_not(fleet.HasRegressed());
 }
 
+/// What all VMs read from the store when they restart together, with so many
+/// VMs and servers a failure domain.
+uint64_t ItemsReadAtReturn(size_t vms, size_t servers) {
+  StoreFleet fleet(3, vms);
+  for (size_t number = 0; number < servers; ++number) {
+    fleet.Put("servers/i-" + std::to_string(number), "ready");
+  }
+  fleet.StartAll();
+  fleet.RunFor(seconds(12));
+  for (int change = 0; change < 10; ++change) {
+    // The latest changes are left out of reads that may be old.
+    fleet.Put("op/config", std::to_string(change));
+  }
+  const uint64_t before = fleet.ItemsRead();
+  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
+    fleet.FaultsOf(vm).m_is_down = true;
+  }
+  fleet.RunFor(milliseconds(600));
+  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
+    fleet.Restart(vm);
+  }
+  const Duration took =
+      fleet.TimeUntilAllKnow("servers/i-0", "ready", seconds(30));
+  cr_expect_leq(took, seconds(5), "%zu VMs: all knew after %ld ms", vms,
+                static_cast<long>(took / milliseconds(1)));
+  fleet.RunFor(seconds(5));
+  return fleet.ItemsRead() - before;
+}
+
+// Guards against a return of all at which each VM reads every key from the
+// store: its link was full for as long as that took, and nobody served.
+Test(StoreFleet, AllRestart_FleetGrows_StoreIsReadByTheRelaysOnly) {
+  constexpr size_t kServers = 300;
+  for (const size_t vms : {5U, 10U, 20U}) {
+    const uint64_t read = ItemsReadAtReturn(vms, kServers);
+    // Each VM reads the entries of its own failure domain besides.
+    const uint64_t relays = 3 * (vms / 16 + 1);
+    const uint64_t most = relays * (kServers + 3 * vms) + 3 * vms * vms;
+    cr_expect_leq(read, most, "%zu VMs read %lu items", vms,
+                  static_cast<unsigned long>(read));
+  }
+}
+
+// Guards against followers that wait for a relay which never comes to read the
+// store.
+Test(StoreFleet, AllRestart_RelaysCannotReadTheStore_FollowersReadIt) {
+  StoreFleet& fleet = g_fixture->m_fleet;
+  const auto relays = fleet.Watchers();
+  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
+    fleet.FaultsOf(vm).m_is_down = true;
+  }
+  fleet.RunFor(milliseconds(600));
+  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
+    fleet.Restart(vm);
+  }
+  for (const size_t relay : relays) {
+    fleet.FaultsOf(relay).m_is_store_closed = true;
+  }
+  fleet.RunFor(seconds(5));
+  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
+    const bool is_relay =
+        std::find(relays.begin(), relays.end(), vm) != relays.end();
+    cr_expect(is_relay || fleet.Knows(vm, "servers/i-7", "ready"), "VM %zu",
+              vm);
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank::platform
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -41,7 +41,12 @@
     cr_assert_eq(pipe(m_pipe), 0);
     m_log = std::make_unique<DecisionLog>("vm", m_pipe[1]);
     m_watch = std::make_unique<StoreWatch>(
-        m_io, m_client, m_feed, *m_log, seconds(2),
+        m_io, m_client, m_feed, *m_log,
+        StoreFollower::Place{
+            .m_most_lag = seconds(2),
+            .m_domain_prefix = "fleet/d1/",
+            .m_find_relays =
+                [](const std::vector<StoreItem>&) { return RelayChoice(); }},
         [this](const StoreMirror::Changes& changes) {
           for (const StoreItem& item : changes) {
             if (item.m_removed) {
