Name part of a domain's VMs only where the domain is large

What callers would have seen: a region of 65 VMs was answered by a part of one domain, one of 63 by all of it, so that the loss or return of a few VMs changed all addresses, and clients leave connections to VMs that are not named any more. Cause: the bound of one answer stood for the size of a domain. Change: a part is named from 40 VMs of the own domain on; with fewer, up to 64 VMs of the region, the own domain first.

--- a/src/proxy/directory.cc
+++ b/src/proxy/directory.cc
@@ -24,6 +24,9 @@
 constexpr double kCarryingPart = 1.0 / 3;
 /// At least so many addresses, so that one VM's end is felt by few clients.
 constexpr size_t kLeastAddresses = 8;
+/// VMs of a failure domain from which on a part of them is enough. With fewer,
+/// clients get all VMs of their region.
+constexpr size_t kLargeDomain = 40;
 
 Members Matching(const std::vector<FleetMember>& fleet,
                  const MemberTest& test) {
@@ -69,18 +72,21 @@
                   capacity.m_link_mbps / kUnitMbps);
 }
 
-/// The largest VMs of the own domain, and of others where it has too few. The
-/// order among VMs of one size is by hash, the same in every VM that is asked:
-/// one VM more or less changes one address.
-Members LargestFirst(const Members& members, const std::string& own_domain) {
+/// Those of the own domain first, and the larger ones of each; of a large
+/// domain a part is enough. The order among VMs of one size is by hash, the
+/// same in every VM that is asked: one VM more or less changes one address.
+Members OwnAndLargestFirst(const Members& members,
+                           const std::string& own_domain) {
   using Place = std::tuple<bool, double, uint64_t, const FleetMember*>;
   std::vector<Place> places;
   places.reserve(members.size());
   double own_weight = 0;
+  size_t own_count = 0;
   for (const FleetMember* member : members) {
     const bool is_elsewhere = member->m_failure_domain != own_domain;
     const double weight = WeightOf(member->m_capacity);
     own_weight += is_elsewhere ? 0 : weight;
+    own_count += is_elsewhere ? 0 : 1;
     places.emplace_back(is_elsewhere, -weight,
                         XXH3_64bits(member->m_vm.data(), member->m_vm.size()),
                         member);
@@ -90,8 +96,9 @@
   Members chosen;
   double carried = 0;
   for (const auto& [is_elsewhere, minus_weight, hash, member] : places) {
-    const bool is_enough =
-        chosen.size() >= kLeastAddresses && (is_elsewhere || carried >= wanted);
+    const bool is_enough = own_count >= kLargeDomain &&
+                           chosen.size() >= kLeastAddresses &&
+                           carried >= wanted;
     if (is_enough || chosen.size() == kMostDirectoryAddresses) {
       break;
     }
@@ -108,7 +115,7 @@
     const DirectoryQuery& query) {
   const Members members = Eligible(fleet, query);
   return members.size() > kMostDirectoryAddresses
-             ? LargestFirst(members, query.m_failure_domain)
+             ? OwnAndLargestFirst(members, query.m_failure_domain)
              : members;
 }
 
--- a/src/proxy/directory_func.h
+++ b/src/proxy/directory_func.h
@@ -23,8 +23,8 @@
 inline constexpr size_t kMostDirectoryAddresses = 64;
 
 /// The entry VMs of the client's region; where it has none, those of the home
-/// regions, else all. Where they are too many for one answer, the largest of
-/// the client's failure domain.
+/// regions, else all. Where they are too many for one answer, those of the
+/// client's failure domain first; of a large domain, its largest VMs.
 std::vector<const FleetMember*> ChooseClientVms(
     const std::vector<FleetMember>& fleet,
     const DirectoryQuery& query);
