--- a/src/proxy/load_peers.cc
+++ b/src/proxy/load_peers.cc
@@ -30,6 +30,7 @@
     }
   }
   std::vector<const FleetMember*> members;
+  members.reserve(by_name.size());
   for (const auto& [name, member] : by_name) {
     members.push_back(member);
   }
@@ -42,6 +43,7 @@
                                        const FleetMember& own,
                                        uint16_t port) {
   std::vector<const FleetMember*> members;
+  members.reserve(fleet.size());
   if (fleet.size() <= kMostLoadPeers + 1) {
     for (const FleetMember& member : fleet) {
       members.push_back(&member);
