--- a/tests/store_fleet_test.cc
+++ b/tests/store_fleet_test.cc
@@ -285,6 +285,29 @@
   }
 }
 
+// Guards against a start that waits for one silent relay after the other.
+Test(StoreFleet, VmStarts_AllRelaysOfItsDomainPaused_ReadsTheStoreInTime) {
+  StoreFleet fleet(2, 40);
+  fleet.StartAll();
+  fleet.RunFor(seconds(12));
+  fleet.Put("op/config", "new");
+  fleet.RunFor(seconds(4));
+  const auto relays = fleet.Watchers();
+  cr_assert_eq(relays.size(), 6U);
+  for (const size_t relay : relays) {
+    fleet.FaultsOf(relay).m_is_paused = true;
+  }
+  size_t vm = 0;
+  while (std::find(relays.begin(), relays.end(), vm) != relays.end()) {
+    ++vm;
+  }
+  fleet.FaultsOf(vm).m_is_down = true;
+  fleet.RunFor(milliseconds(600));
+  fleet.Restart(vm);
+  fleet.RunFor(seconds(3));
+  cr_expect(fleet.Knows(vm, "op/config", "new"));
+}
+
 // Guards against followers that wait for a relay which never comes to read the
 // store.
 Test(StoreFleet, AllRestart_RelaysCannotReadTheStore_FollowersReadIt) {
