--- a/tests/store_fleet.cc
+++ b/tests/store_fleet.cc
@@ -78,6 +78,16 @@
   Start(*m_vms[vm]);
 }
 
+void StoreFleet::RestartAll(Duration away) {
+  for (const auto& vm : m_vms) {
+    vm->m_faults.m_is_down = true;
+  }
+  RunFor(away);
+  for (const auto& vm : m_vms) {
+    Restart(vm->m_number);
+  }
+}
+
 void StoreFleet::Tick(Vm& vm, uint64_t run) {
   if (vm.m_run != run) {
     return;
--- a/tests/store_fleet.h
+++ b/tests/store_fleet.h
@@ -48,6 +48,8 @@
   size_t Size() const { return m_vms.size(); }
   VmFaults& FaultsOf(size_t vm) { return m_vms[vm]->m_faults; }
   void Restart(size_t vm);
+  /// All VMs end, and start together after some time.
+  void RestartAll(Duration away);
   /// Positions of the VMs that watch the store themselves.
   std::vector<size_t> Watchers() const;
   const StoreFollower& Follower(size_t vm) const {
--- a/tests/store_fleet_test.cc
+++ b/tests/store_fleet_test.cc
@@ -256,13 +256,7 @@
     fleet.Put("op/config", std::to_string(change));
   }
   const uint64_t before = fleet.ItemsRead();
-  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
-    fleet.FaultsOf(vm).m_is_down = true;
-  }
-  fleet.RunFor(milliseconds(600));
-  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
-    fleet.Restart(vm);
-  }
+  fleet.RestartAll(milliseconds(600));
   const Duration took =
       fleet.TimeUntilAllKnow("servers/i-0", "ready", seconds(30));
   cr_expect_leq(took, seconds(5), "%zu VMs: all knew after %ld ms", vms,
@@ -313,13 +307,7 @@
 Test(StoreFleet, AllRestart_RelaysCannotReadTheStore_FollowersReadIt) {
   StoreFleet& fleet = g_fixture->m_fleet;
   const auto relays = fleet.Watchers();
-  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
-    fleet.FaultsOf(vm).m_is_down = true;
-  }
-  fleet.RunFor(milliseconds(600));
-  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
-    fleet.Restart(vm);
-  }
+  fleet.RestartAll(milliseconds(600));
   for (const size_t relay : relays) {
     fleet.FaultsOf(relay).m_is_store_closed = true;
   }
