--- a/src/steer/object_order.h
+++ b/src/steer/object_order.h
@@ -20,7 +20,7 @@
 /// weight, while servers come and go.
 ///
 /// Load pattern: a region with thousands of servers. Ranked anew for each
-/// request, they cost more processor time than all else that a request needs.
+/// request, they cost work that grows with the fleet.
 class ObjectOrder {
  public:
   /// Servers kept for one object. A request has two to choose from; the others
--- a/src/steer/server_roster.h
+++ b/src/steer/server_roster.h
@@ -25,8 +25,8 @@
 /// measuring the region looks at servers out of the ordinary only.
 ///
 /// Load pattern: ten thousand servers, of which a VM hears from some dozens a
-/// second. Looked at ten times a second, all of them took a quarter of a small
-/// VM's processor.
+/// second. Looked at ten times a second, all of them would cost work that grows
+/// with the fleet.
 class ServerRoster {
  public:
   void Add(ServerTrack* server);
--- a/tests/steering_work_test.cc
+++ b/tests/steering_work_test.cc
@@ -74,8 +74,7 @@
 
 TestSuite(SteeringWork);
 
-// Guards against ticks that look at every server: they took a small VM's
-// processor in a large fleet.
+// Guards against ticks that look at every server of a large fleet.
 Test(SteeringWork, Ticks_ServersGrowFourfold_LookAtNoMore) {
   const uint64_t few = WorkFixture(kFewServers).WorkOfTicks();
   cr_expect_eq(WorkFixture(2 * kFewServers).WorkOfTicks(), few);
