--- a/tests/relay_choice_test.cc
+++ b/tests/relay_choice_test.cc
@@ -66,8 +66,7 @@
   }
 }
 
-// Guards against relays whose link or processor is the smallest of their
-// failure domain: they fell behind while all servers started.
+// Guards against relays with the smallest link or processor of their domain.
 Test(RelayChoice, DomainHasLargerVms_TheyAreTheRelays) {
   auto fleet = ChoiceFixture::Fleet(990);
   size_t number = 0;
