Keep the load estimate of uneven services between reports

Cause: while a VM has no response of a server itself, which is the usual case, it assumed 30 ms of work a request and a drain 2.5 times as fast, so that a full server seemed idle some milliseconds after each report.

Change: in a service whose slots are spread unevenly over the regions (IsCapacityUneven, new), the service's usual time in a slot stands in, and the drain is the server's own pace. Other services are estimated as before.

--- /dev/null
+++ b/src/steer/capacity_balance_func.h
@@ -0,0 +1,23 @@
+/// @file capacity_balance_func.h Whether a service's capacity is spread evenly
+/// over the regions.
+
+#ifndef SORRELPLANK_STEER_CAPACITY_BALANCE_FUNC_H_
+#define SORRELPLANK_STEER_CAPACITY_BALANCE_FUNC_H_
+
+#include <vector>
+
+namespace sorrelplank {
+
+/// Whether, of the regions with slots, the one with the most has at least twice
+/// as many as the one with the fewest. Regions without slots do not count: a
+/// service that is absent from a region, or lost there, is not uneven.
+///
+/// Load pattern: callers are spread evenly over regions, servers are not. The
+/// demand of a region with few servers then exceeds its slots at usual load, so
+/// queues, moved objects and full servers are the normal state, and decisions
+/// made for occasional overload are too slow.
+bool IsCapacityUneven(const std::vector<double>& slots_by_region);
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_STEER_CAPACITY_BALANCE_FUNC_H_
--- a/src/steer/peer_load_estimate.cc
+++ b/src/steer/peer_load_estimate.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "steer/service_baseline_type.h"
 #include "steer/slot_time_fraction_func.h"
 
 namespace sorrelplank {
@@ -20,6 +21,9 @@
 /// relative to the maximum, over five days with six seeds each: 0.570 with 1.5,
 /// 0.581 with 2.5, 0.573 with 4.
 constexpr double kDrainSpeedup = 2.5;
+/// The same in a service with uneven capacity: its servers stay full for long,
+/// and requests of other VMs arrive as fast as requests end.
+constexpr double kUnevenDrainSpeedup = 1;
 
 }  // namespace
 
@@ -33,10 +37,18 @@
       report.m_latency * SlotTimeFraction(report, slots)));
 }
 
-double PeerLoadEstimate::At(TimePoint now, double own, uint32_t slots) const {
-  const double work = std::max(kMinWorkMs, ToMilliseconds(m_work.Get()));
-  const double ends =
-      kDrainSpeedup * slots * ToMilliseconds(now - m_as_of) / work;
+double PeerLoadEstimate::At(TimePoint now,
+                            double own,
+                            uint32_t slots,
+                            const ServiceBaseline& usual) const {
+  const bool uses_service_time =
+      usual.m_is_uneven && m_work.Get() == Duration::zero();
+  const Duration slot_time =
+      uses_service_time ? usual.m_slot_time : m_work.Get();
+  const double work = std::max(kMinWorkMs, ToMilliseconds(slot_time));
+  const double speedup =
+      usual.m_is_uneven ? kUnevenDrainSpeedup : kDrainSpeedup;
+  const double ends = speedup * slots * ToMilliseconds(now - m_as_of) / work;
   const double peer_fraction =
       m_peer_requests / std::max(1.0, m_peer_requests + own);
   return std::max(0.0, m_peer_requests - ends * peer_fraction);
--- a/src/steer/peer_load_estimate.h
+++ b/src/steer/peer_load_estimate.h
@@ -12,6 +12,7 @@
 namespace sorrelplank {
 
 struct AttemptReport;
+struct ServiceBaseline;
 
 /// Estimates how many requests of other entry VMs a server has between its load
 /// reports.
@@ -23,6 +24,12 @@
 /// server's queue, past their target latencies. A queue drains at the server's
 /// own rate, so the estimate does too: by its slots and its processing time per
 /// request.
+///
+/// In a service with uneven capacity (see IsCapacityUneven), a VM meets a given
+/// server only every ten seconds or so, and mostly has no response of it. The
+/// service's usual time in a slot stands in: without it queues were assumed to
+/// be gone a few milliseconds after a report, and senders that believed in 3
+/// requests met 16 to 21.
 class PeerLoadEstimate {
  public:
   /// Sets the number of other VMs' requests that the server reported.
@@ -33,7 +40,10 @@
 
   /// Estimated number of other VMs' requests; `own` is the number of this VM's
   /// requests in flight there.
-  double At(TimePoint now, double own, uint32_t slots) const;
+  double At(TimePoint now,
+            double own,
+            uint32_t slots,
+            const ServiceBaseline& usual) const;
 
  private:
   double m_peer_requests = 0;
--- a/src/steer/region_servers.cc
+++ b/src/steer/region_servers.cc
@@ -55,6 +55,14 @@
   m_restricted.insert(server);
 }
 
+double RegionServers::RegisteredSlots() const {
+  double slots = 0;
+  for (const auto& [domain, count] : m_slots) {
+    slots += static_cast<double>(count);
+  }
+  return slots;
+}
+
 RegionLoad RegionServers::Measure(const ServerPicker& picker,
                                   const ServiceRules& rules,
                                   TimePoint now) {
--- a/src/steer/region_servers.h
+++ b/src/steer/region_servers.h
@@ -51,6 +51,9 @@
                      const ServiceRules& rules,
                      TimePoint now);
 
+  /// Slots of all servers, whether they can be sent to or not.
+  double RegisteredSlots() const;
+
   void CountExamined(size_t servers) { m_examined += servers; }
   /// Number of servers examined so far for measuring and ranking.
   uint64_t Examined() const {
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -131,9 +131,10 @@
     if (!IsUsable(*server) || WasTried(criteria, entry.m_instance)) {
       continue;
     }
-    const double load = criteria.m_has_object_affinity
-                            ? 0
-                            : server->Occupancy(now) / entry.m_slots;
+    const double load =
+        criteria.m_has_object_affinity
+            ? 0
+            : server->Occupancy(now, criteria.m_usual) / entry.m_slots;
     const bool is_avoided = ShouldAvoid(*server, criteria, now);
     // Avoided servers are ranked last rather than excluded: if all are ejected,
     // the cause is probably not theirs, and refusing all requests would be
@@ -210,8 +211,8 @@
     }
     ++considered;
     const double limit = server->OccupancyLimit(now, criteria.m_usual);
-    const double surplus =
-        server->Occupancy(now) + server->Waiting() + 1 - limit;
+    const double occupancy = server->Occupancy(now, criteria.m_usual);
+    const double surplus = occupancy + server->Waiting() + 1 - limit;
     const double wait = std::max(0.0, surplus) / std::max(1.0, limit);
     // All entry VMs rank an object's first server first, so its cache is warm
     // through their requests, which this VM does not see. Assuming a cache miss
@@ -225,7 +226,7 @@
       best.m_fastest = server;
       fastest_time = time;
     }
-    const bool has_room = server->Occupancy(now) + 1 <= limit;
+    const bool has_room = occupancy + 1 <= limit;
     if (has_room &&
         (best.m_fastest_free == nullptr || time < fastest_free_time)) {
       best.m_fastest_free = server;
--- a/src/steer/server_state.cc
+++ b/src/steer/server_state.cc
@@ -143,11 +143,11 @@
 }
 
 bool ServerState::HadEnoughTime(Duration given,
-                                Duration usual,
+                                const ServiceBaseline& usual,
                                 TimePoint now) const {
-  const double queue = std::max(1.0, Occupancy(now) / m_entry.m_slots);
+  const double queue = std::max(1.0, Occupancy(now, usual) / m_entry.m_slots);
   return ToMilliseconds(given) >=
-         kCacheMissFactor * queue * ToMilliseconds(usual);
+         kCacheMissFactor * queue * ToMilliseconds(usual.m_latency);
 }
 
 void ServerState::ApplyLoadReport(const ReportedLoad& load,
@@ -197,9 +197,10 @@
       now + std::min(kFirstEjection * (1U << doublings), kMaxEjection);
 }
 
-double ServerState::Occupancy(TimePoint now) const {
+double ServerState::Occupancy(TimePoint now,
+                              const ServiceBaseline& usual) const {
   return m_own_in_flight +
-         m_peer_load.At(now, m_own_in_flight, m_entry.m_slots);
+         m_peer_load.At(now, m_own_in_flight, m_entry.m_slots, usual);
 }
 
 std::optional<double> ServerState::RecentLoad(TimePoint now) const {
--- a/src/steer/server_state.h
+++ b/src/steer/server_state.h
@@ -53,7 +53,7 @@
   std::optional<ServerLoad> TakeUnsharedLoad(TimePoint now);
 
   /// Requests in flight: those of this VM, and the estimate of the other VMs'.
-  double Occupancy(TimePoint now) const;
+  double Occupancy(TimePoint now, const ServiceBaseline& usual) const;
   /// Average number of requests running and waiting at the server, of all entry
   /// VMs, by its own reports; no value without a recent report.
   std::optional<double> RecentLoad(TimePoint now) const;
@@ -80,7 +80,9 @@
   /// Whether the time given to a request should have sufficed for an answer
   /// even without its object in the server's cache and with the server's
   /// current queue.
-  bool HadEnoughTime(Duration given, Duration usual, TimePoint now) const;
+  bool HadEnoughTime(Duration given,
+                     const ServiceBaseline& usual,
+                     TimePoint now) const;
 
   uint32_t InFlight() const { return m_own_in_flight; }
   /// Number of consecutive failed attempts.
--- a/src/steer/service_baseline_type.h
+++ b/src/steer/service_baseline_type.h
@@ -14,6 +14,11 @@
   Duration m_latency{};
   /// Fraction of sends that servers reject although they have free slots, 0..1.
   double m_rejections = 0;
+  /// Mean time for which a request occupies a slot in the region in question;
+  /// zero while unknown.
+  Duration m_slot_time{};
+  /// Whether the service's slots are spread unevenly over the regions.
+  bool m_is_uneven = false;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <utility>
 
+#include "steer/capacity_balance_func.h"
 #include "steer/server_picker.h"
 
 namespace sorrelplank {
@@ -80,6 +81,13 @@
   }
 }
 
+ServiceBaseline SteeredService::UsualIn(size_t region) const {
+  return {.m_latency = m_latency.Get(),
+          .m_rejections = m_rejections,
+          .m_slot_time = m_region_latencies.SlotTime(region),
+          .m_is_uneven = m_is_uneven};
+}
+
 QueueState SteeredService::QueueAt(const ServerState* server,
                                    TimePoint now) const {
   QueueState queue;
@@ -95,7 +103,8 @@
       1000;
   // Freed slots go to whichever VM sends first; this VM expects its fraction of
   // the requests in flight.
-  const double occupancy = std::max(1.0, server->Occupancy(now));
+  const double occupancy =
+      std::max(1.0, server->Occupancy(now, UsualIn(server->Region())));
   const double fraction =
       std::max(kMinOwnFraction, server->InFlight() / occupancy);
   queue.m_completions_per_second = server->Entry().m_slots * fraction / work_s;
@@ -113,6 +122,12 @@
     loads.push_back(servers.Measure(picker, rules, now));
   }
   m_shares.Update(loads, max_shift_per_second, bounds, now);
+  std::vector<double> slots;
+  slots.reserve(m_by_region.size());
+  for (const RegionServers& servers : m_by_region) {
+    slots.push_back(servers.RegisteredSlots());
+  }
+  m_is_uneven = IsCapacityUneven(slots);
 }
 
 void SteeredService::CountRequest(TimePoint now) {
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -45,7 +45,11 @@
 
   /// Records the outcome of an attempt.
   void CountEnd(const ServerState& server, const AttemptReport& report);
-  ServiceBaseline Usual() const { return {m_latency.Get(), m_rejections}; }
+  ServiceBaseline Usual() const { return UsualIn(m_own_region); }
+  /// The service's baseline for servers of the region.
+  ServiceBaseline UsualIn(size_t region) const;
+  /// Whether its slots are spread unevenly over the regions.
+  bool IsUneven() const { return m_is_uneven; }
   /// State of the queue for a server; of an empty one if the server is nullptr.
   QueueState QueueAt(const ServerState* server, TimePoint now) const;
 
@@ -81,6 +85,7 @@
   QuantileEstimator m_latency{0.5};
   RegionLatencies m_region_latencies;
   double m_rejections = 0;
+  bool m_is_uneven = false;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -87,10 +87,12 @@
 void Steering::CancelLiveAttempts(SteeredRequest& request,
                                   bool counts_as_lost,
                                   TimePoint now) {
-  const Duration usual = Service(request.m_service).Usual().m_latency;
+  SteeredService& service = Service(request.m_service);
   for (const LiveAttempt& live : request.m_live_attempts) {
-    const bool is_lost = counts_as_lost && live.m_server->HadEnoughTime(
-                                               now - live.m_sent, usual, now);
+    const bool is_lost =
+        counts_as_lost &&
+        live.m_server->HadEnoughTime(
+            now - live.m_sent, service.UsualIn(live.m_server->Region()), now);
     if (is_lost) {
       AttemptReport report;
       report.m_end = AttemptEnd::kLost;
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -173,6 +173,8 @@
       {attempt, m_servers.at(entry.m_instance), now});
   request.m_tried.push_back(entry.m_instance);
   ++request.m_started_sends;
+  const ServiceBaseline usual =
+      Service(request.m_service).UsualIn(server->Region());
   const size_t max_idle_connections = MaxIdleConnections(
       RulesOf(entry.m_service).m_max_connections, m_picker.Fleet().size());
   m_sink(
@@ -187,7 +189,7 @@
                    .m_max_idle_connections = max_idle_connections,
                    .m_service = request.m_service,
                    .m_region = m_regions[server->Region()],
-                   .m_occupancy = server->Occupancy(now),
+                   .m_occupancy = server->Occupancy(now, usual),
                    .m_waited = now - request.m_arrived,
                    .m_passed_over = request.m_passed_over,
                    .m_table_version = request.m_table->m_version});
