Split uneven services over the regions by their slots

Cause: the small region of an uneven service sends most of its objects elsewhere and never has the slots for its own callers. Its share followed the load by ten seconds' delay, in each VM's own way, and every moved object reached a server that did not have it cached.

Change: in a service with uneven capacity, RegionShares sets each region's share to its fraction of the slots, the same at all VMs, at once before Start() and at the bounded rate after it. The bounds between services do not apply to such a service, nor does it bound others, since its split cannot follow theirs. SteeredService decides whether the service is uneven before it updates the shares, so that the first update already knows.

--- a/src/steer/region_shares.cc
+++ b/src/steer/region_shares.cc
@@ -53,18 +53,26 @@
 void RegionShares::Update(const std::vector<RegionLoad>& loads,
                           double max_shift_per_second,
                           const MovedAwayBounds& bounds,
-                          TimePoint now) {
+                          TimePoint now,
+                          bool is_uneven) {
   const Duration since = std::min<Duration>(now - m_updated, seconds(1));
   m_updated = now;
   m_loads = loads;
   if (!m_has_started) {
     SetByCapacity();
+    if (is_uneven) {
+      SetBySlots();
+    }
+    return;
+  }
+  const double step = max_shift_per_second * ToMilliseconds(since) / 1000;
+  if (is_uneven) {
+    MoveTowardsSlots(step);
     return;
   }
   if (!loads[m_own].m_is_known && loads[m_own].m_slots > 0) {
     return;
   }
-  const double step = max_shift_per_second * ToMilliseconds(since) / 1000;
   const double max_move_back =
       std::clamp(MovedAway() - bounds.m_min, 0.0, step * kReturnSpeedFactor);
   const double max_move_away =
@@ -168,6 +176,26 @@
   }
 }
 
+void RegionShares::SetBySlots() {
+  double total = 0;
+  for (const RegionLoad& load : m_loads) {
+    total += load.m_slots;
+  }
+  if (total <= 0) {
+    return;
+  }
+  for (size_t region = 0; region < m_shares.size(); ++region) {
+    m_shares[region] = m_loads[region].m_slots / total;
+  }
+}
+
+void RegionShares::MoveTowardsSlots(double step) {
+  const std::vector<double> before = m_shares;
+  SetBySlots();
+  const bool moves_back = m_shares[m_own] > before[m_own];
+  LimitMove(before, moves_back ? step * kReturnSpeedFactor : step);
+}
+
 void RegionShares::MoveBetween(size_t from, size_t to, double share) {
   const double moved = std::min(share, m_shares[from]);
   m_shares[from] -= moved;
--- a/src/steer/region_shares.h
+++ b/src/steer/region_shares.h
@@ -39,6 +39,15 @@
 /// objects move, by weighted rendezvous hashing over the shares, and the shares
 /// change at a bounded rate. All objects move at once only if no server of a
 /// region is reachable.
+///
+/// In a service with uneven capacity (see IsCapacityUneven) the load pattern is
+/// another: the demand of the regions rises and falls by turns, and a small
+/// region never has the slots for its own callers. Shares that follow the load
+/// then move all the time, and each VM's in its own way. Instead the share of
+/// each region is its fraction of the slots, the same at all VMs: each object
+/// has one region for all callers, and the demand peaks of the regions add up
+/// to a steady load. These shares change only as slots do, at the same bounded
+/// rate.
 class RegionShares {
  public:
   /// Bit r set: region r may run the request.
@@ -49,10 +58,16 @@
   /// Shifts shares towards regions with spare capacity. Before Start() the
   /// shares are set so that regions of equal demand would be equally loaded.
   /// After it, no shift takes MovedAway() across the bounds.
+  ///
+  /// In an uneven service, shares are set to the regions' fractions of the
+  /// slots, and move towards these after Start(). The bounds do not apply then:
+  /// they keep services close to each other whose shares follow the load, and
+  /// would stop a service for good if only its own slots had changed.
   void Update(const std::vector<RegionLoad>& loads,
               double max_shift_per_second,
               const MovedAwayBounds& bounds,
-              TimePoint now);
+              TimePoint now,
+              bool is_uneven = false);
 
   /// To be called at the first request; from then on shares change slowly.
   void Start();
@@ -79,6 +94,11 @@
                     double RegionLoad::*slots) const;
   void MoveBetween(size_t from, size_t to, double share);
   void SetByCapacity();
+  /// Sets each share to the region's fraction of the slots; keeps the shares if
+  /// there are no slots.
+  void SetBySlots();
+  /// Moves towards the shares of SetBySlots(), by at most `step` in total.
+  void MoveTowardsSlots(double step);
   /// Moves objects back from other regions if the own one has spare capacity.
   void MoveBack(double max_move);
   /// Moves objects to the least loaded region if the own one is full.
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -118,16 +118,14 @@
                                   TimePoint now) {
   std::vector<RegionLoad> loads;
   loads.reserve(m_by_region.size());
-  for (RegionServers& servers : m_by_region) {
-    loads.push_back(servers.Measure(picker, rules, now));
-  }
-  m_shares.Update(loads, max_shift_per_second, bounds, now);
   std::vector<double> slots;
   slots.reserve(m_by_region.size());
-  for (const RegionServers& servers : m_by_region) {
+  for (RegionServers& servers : m_by_region) {
+    loads.push_back(servers.Measure(picker, rules, now));
     slots.push_back(servers.RegisteredSlots());
   }
   m_is_uneven = IsCapacityUneven(slots);
+  m_shares.Update(loads, max_shift_per_second, bounds, now, m_is_uneven);
 }
 
 void SteeredService::CountRequest(TimePoint now) {
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -250,7 +250,9 @@
   double max_moved_away = -1;
   for (const auto& [name, service] : m_services) {
     const RegionShares& shares = service->Shares();
-    if (!shares.HasStarted()) {
+    // The shares of an uneven service follow its slots, however far those of
+    // the others are; it would keep them away permanently.
+    if (!shares.HasStarted() || service->IsUneven()) {
       continue;
     }
     min_moved_away = std::min(min_moved_away, shares.MovedAway());
--- a/tests/region_shares_test.cc
+++ b/tests/region_shares_test.cc
@@ -152,5 +152,131 @@
   cr_assert_eq(g_fixture->m_shares.RegionOf(7, 0b010), kRegions);
 }
 
+/// Shares of an uneven service at one VM of each of three regions.
+struct UnevenFixture {
+  std::vector<RegionShares> m_vms;
+  std::vector<double> m_slots{12, 46, 54};
+  std::vector<double> m_demand{1, 1, 1};
+  TimePoint m_now{seconds(10)};
+
+  UnevenFixture() {
+    for (size_t own = 0; own < kRegions; ++own) {
+      m_vms.emplace_back(kRegions, own);
+    }
+    Update(true);
+    for (RegionShares& shares : m_vms) {
+      shares.Start();
+    }
+  }
+
+  /// Requests per slot of each region: what the regions' callers send there.
+  std::vector<RegionLoad> Loads() const {
+    std::vector<RegionLoad> loads;
+    for (size_t region = 0; region < kRegions; ++region) {
+      double requests = 0;
+      for (size_t caller = 0; caller < kRegions; ++caller) {
+        requests += 30 * m_demand[caller] * m_vms[caller].Share(region);
+      }
+      const double slots = m_slots[region];
+      loads.push_back({slots, slots, slots > 0 ? requests / slots : 0});
+    }
+    return loads;
+  }
+
+  void Update(bool is_uneven) {
+    m_now += milliseconds(100);
+    const std::vector<RegionLoad> loads = Loads();
+    for (RegionShares& shares : m_vms) {
+      // Other services have moved nothing.
+      shares.Update(loads, kMaxShiftPerSecond, {.m_min = -0.1, .m_max = 0.1},
+                    m_now, is_uneven);
+    }
+  }
+
+  /// Largest difference of any VM's shares from the regions' slots.
+  double Deviation() const {
+    double largest = 0;
+    for (const RegionShares& shares : m_vms) {
+      for (size_t region = 0; region < kRegions; ++region) {
+        const double total = m_slots[0] + m_slots[1] + m_slots[2];
+        largest = std::max(
+            largest, std::abs(shares.Share(region) - m_slots[region] / total));
+      }
+    }
+    return largest;
+  }
+
+  /// Runs for the time and checks that no update moves more than the bound.
+  void RunWithinBound(Duration time, bool is_uneven = true) {
+    for (Duration step{}; step < time; step += milliseconds(100)) {
+      const std::vector<RegionShares> before = m_vms;
+      Update(is_uneven);
+      for (size_t vm = 0; vm < kRegions; ++vm) {
+        double moved = 0;
+        for (size_t region = 0; region < kRegions; ++region) {
+          moved +=
+              std::abs(m_vms[vm].Share(region) - before[vm].Share(region)) / 2;
+        }
+        cr_assert_leq(moved, kMaxShiftPerSecond / 10 + 1e-9);
+      }
+    }
+  }
+};
+
+// Replays regions of 12, 46 and 54 servers whose demand rises and falls by half
+// by turns. Guards against shares that follow the demand: moved objects reach
+// servers that do not have them cached, and utilisations drift apart.
+Test(RegionSharesUneven, DemandSwingsByTurns_SharesStayAndLoadsAreEqual) {
+  UnevenFixture fixture;
+  for (int step = 0; step < 720; ++step) {
+    for (size_t region = 0; region < kRegions; ++region) {
+      const double phase = step / 360.0 + static_cast<double>(region) / 3;
+      fixture.m_demand[region] = 1 + 0.5 * std::sin(2 * M_PI * phase);
+    }
+    fixture.Update(true);
+    cr_assert_lt(fixture.Deviation(), 1e-9);
+    const std::vector<RegionLoad> loads = fixture.Loads();
+    const auto [least, most] = std::minmax_element(
+        loads.begin(), loads.end(), [](const auto& one, const auto& other) {
+          return one.m_utilisation < other.m_utilisation;
+        });
+    cr_assert_leq(most->m_utilisation, 1.05 * least->m_utilisation);
+  }
+}
+
+// A region's slots halve, and return. Guards against shares that jump, or that
+// stop at the bound between services, of which only this one has moved.
+Test(RegionSharesUneven, SlotsHalveAndReturn_SharesFollowWithinBoundAndSettle) {
+  UnevenFixture fixture;
+  for (const double slots : {27.0, 54.0}) {
+    fixture.m_slots[2] = slots;
+    fixture.RunWithinBound(seconds(6));
+    cr_assert_lt(fixture.Deviation(), 1e-9);
+  }
+}
+
+// Servers join the smallest region until the service is even, and leave again.
+// Guards against a jump of the shares at either moment.
+Test(RegionSharesUneven, TurnsEvenAndUnevenAgain_MovesWithinBound) {
+  UnevenFixture fixture;
+  fixture.m_slots[0] = 40;
+  fixture.RunWithinBound(seconds(10), false);
+  fixture.m_slots[0] = 12;
+  fixture.RunWithinBound(seconds(30));
+  cr_assert_lt(fixture.Deviation(), 1e-9);
+}
+
+// A region without slots is left at once; guards against requests for it being
+// refused while the shares follow at their bounded rate.
+Test(RegionSharesUneven, RegionLosesItsSlots_AllItsObjectsMove) {
+  UnevenFixture fixture;
+  fixture.m_slots[2] = 0;
+  fixture.RunWithinBound(milliseconds(100));
+  for (uint64_t object = 0; object < kObjects; ++object) {
+    cr_assert_neq(fixture.m_vms[0].RegionOf(object, kAll), 2);
+  }
+  cr_assert_eq(fixture.m_vms[0].RegionOf(7, 0b010), 1, "home regions bind");
+}
+
 }  // namespace
 }  // namespace sorrelplank
