Turn the decisions for uneven services off by a setting

Cause: three tests of splits that follow the load use regions with one and five servers, which now count as uneven and get other splits.

Change: the ratio from which a service counts as uneven is a setting, uneven_capacity_ratio, 2 if absent, 0 to turn the decisions off. The fixture of these tests sets 0; their checks and bounds are untouched.

--- a/src/proxy/edge_settings.cc
+++ b/src/proxy/edge_settings.cc
@@ -129,6 +129,13 @@
   return capacity;
 }
 
+/// The ratio is optional; 0 turns the decisions for uneven services off.
+double ReadUnevenCapacityRatio(const SettingsReader& reader) {
+  return reader.Has("uneven_capacity_ratio")
+             ? reader.Number("uneven_capacity_ratio", 0, kMaxCount)
+             : SteeringSettings{}.m_uneven_capacity_ratio;
+}
+
 SteeringSettings ReadSteering(const SettingsReader& reader) {
   return SteeringSettings{
       .m_vm = reader.Text("vm"),
@@ -141,6 +148,7 @@
       .m_cold_factor = reader.Number("cold_factor", 0, kMaxCount),
       .m_cold_slack = reader.Number("cold_slack", 0, kMaxCount),
       .m_max_shift = reader.Number("most_shift", 0, 1),
+      .m_uneven_capacity_ratio = ReadUnevenCapacityRatio(reader),
       .m_quotas = ReadQuotas(reader),
   };
 }
--- a/src/steer/capacity_balance.cc
+++ b/src/steer/capacity_balance.cc
@@ -7,16 +7,8 @@
 
 namespace sorrelplank {
 
-namespace {
-
-/// Ratio of slots between two regions from which on the smaller one cannot
-/// serve an equal share of callers, even if its servers are half idle at the
-/// larger one's load.
-constexpr double kUnevenCapacityRatio = 2;
-
-}  // namespace
-
-bool IsCapacityUneven(const std::vector<double>& slots_by_region) {
+bool IsCapacityUneven(const std::vector<double>& slots_by_region,
+                      double ratio) {
   double most = 0;
   double fewest = std::numeric_limits<double>::infinity();
   for (const double slots : slots_by_region) {
@@ -25,7 +17,7 @@
       fewest = std::min(fewest, slots);
     }
   }
-  return most >= kUnevenCapacityRatio * fewest;
+  return ratio > 0 && most >= ratio * fewest;
 }
 
 }  // namespace sorrelplank
--- a/src/steer/capacity_balance_func.h
+++ b/src/steer/capacity_balance_func.h
@@ -8,15 +8,16 @@
 
 namespace sorrelplank {
 
-/// Whether, of the regions with slots, the one with the most has at least twice
-/// as many as the one with the fewest. Regions without slots do not count: a
-/// service that is absent from a region, or lost there, is not uneven.
+/// Whether, of the regions with slots, the one with the most has at least
+/// `ratio` times as many as the one with the fewest. Regions without slots do
+/// not count: a service that is absent from a region, or lost there, is not
+/// uneven. With a ratio of 0, none is.
 ///
 /// Load pattern: callers are spread evenly over regions, servers are not. The
 /// demand of a region with few servers then exceeds its slots at usual load, so
 /// queues, moved objects and full servers are the normal state, and decisions
 /// made for occasional overload are too slow.
-bool IsCapacityUneven(const std::vector<double>& slots_by_region);
+bool IsCapacityUneven(const std::vector<double>& slots_by_region, double ratio);
 
 }  // namespace sorrelplank
 
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -33,12 +33,14 @@
 
 SteeredService::SteeredService(size_t regions,
                                size_t own,
-                               Duration retry_window)
+                               Duration retry_window,
+                               double uneven_capacity_ratio)
     : m_own_region(own),
       m_by_region(regions),
       m_shares(regions, own),
       m_retries(retry_window),
-      m_region_latencies(regions) {}
+      m_region_latencies(regions),
+      m_uneven_capacity_ratio(uneven_capacity_ratio) {}
 
 void SteeredService::AddServer(const std::shared_ptr<ServerState>& server) {
   m_servers[server->Entry().m_instance] = server;
@@ -124,7 +126,7 @@
     loads.push_back(servers.Measure(picker, rules, now));
     slots.push_back(servers.RegisteredSlots());
   }
-  m_is_uneven = IsCapacityUneven(slots);
+  m_is_uneven = IsCapacityUneven(slots, m_uneven_capacity_ratio);
   m_shares.Update(loads, max_shift_per_second, bounds, now, m_is_uneven);
 }
 
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -29,7 +29,10 @@
 class SteeredService {
  public:
   /// Regions are numbered by the caller; `own` is this VM's region.
-  SteeredService(size_t regions, size_t own, Duration retry_window);
+  SteeredService(size_t regions,
+                 size_t own,
+                 Duration retry_window,
+                 double uneven_capacity_ratio);
 
   void AddServer(const std::shared_ptr<ServerState>& server);
   void RemoveServer(const std::string& instance);
@@ -85,6 +88,7 @@
   QuantileEstimator m_latency{0.5};
   RegionLatencies m_region_latencies;
   double m_rejections = 0;
+  double m_uneven_capacity_ratio;
   bool m_is_uneven = false;
 };
 
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -233,8 +233,9 @@
 SteeredService& Steering::Service(const std::string& name) {
   auto& service = m_services[name];
   if (!service) {
-    service = std::make_unique<SteeredService>(m_regions.size(), m_own_region,
-                                               m_settings.m_retry_window);
+    service = std::make_unique<SteeredService>(
+        m_regions.size(), m_own_region, m_settings.m_retry_window,
+        m_settings.m_uneven_capacity_ratio);
   }
   return *service;
 }
--- a/src/steer/steering_settings_type.h
+++ b/src/steer/steering_settings_type.h
@@ -31,6 +31,11 @@
   /// Maximum fraction of a region's requests that may change the region they
   /// run in between two adjacent windows of 2 s.
   double m_max_shift = 0.15;
+  /// A service is uneven if the region with the most slots has at least this
+  /// many times those of the one with the fewest; 0 treats none as uneven. At
+  /// twice the slots, the smaller region cannot serve an equal share of the
+  /// callers even if the larger one's servers are half idle.
+  double m_uneven_capacity_ratio = 2;
   QuotaBounds m_quotas = {};
 };
 
