Don't let a queued request wait beside a free slot in uneven services

Cause: the expected wait at a server counted all requests that wait at this VM for it, also for a request that is itself one of them. With both of an object's servers counted as having it cached, a request then preferred its other, full server with a shorter queue, and the free slot stayed idle until that one had room.

Change: in uneven services a queued request counts no waiting requests. Those ahead of it have been considered before it, and those behind it do not delay it.

--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -56,8 +56,12 @@
 ReplicaCandidate CandidateOf(const ServerState& server,
                              const PickCriteria& criteria,
                              TimePoint now) {
+  // A queued request that counted itself and those behind it would wait for a
+  // full server although the other one has a free slot.
+  const bool counts_waiting =
+      !criteria.m_is_queued || !criteria.m_usual.m_is_uneven;
   return {.m_occupancy = server.Occupancy(now, criteria.m_usual),
-          .m_waiting = static_cast<double>(server.Waiting()),
+          .m_waiting = counts_waiting ? server.Waiting() : 0.0,
           .m_limit = server.OccupancyLimit(now, criteria.m_usual),
           .m_was_sent_object = criteria.m_has_object_affinity &&
                                server.IsWarmFor(criteria.m_object, now)};
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -30,6 +30,9 @@
   /// Hash of the object that the request is about.
   uint64_t m_object = 0;
   bool m_has_object_affinity = false;
+  /// Whether the request waits at this VM; those ahead of it that wait for the
+  /// same server have been considered before it.
+  bool m_is_queued = false;
   /// Instances that the request was already sent to.
   const std::vector<std::string>* m_tried = nullptr;
   ServiceBaseline m_usual;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -222,6 +222,7 @@
   }
   criteria.m_object = request.m_facts.m_object;
   criteria.m_has_object_affinity = request.m_route->m_has_object_affinity;
+  criteria.m_is_queued = request.m_is_queued;
   criteria.m_tried = &request.m_tried;
   criteria.m_usual = service.UsualIn(region);
   criteria.m_limits = &m_server_limits;
