Show operators which services are uneven and use second servers

Cause: an operator could not see which rules apply to a service, nor how often an object's second server takes its requests.

Change: log lines capacity_uneven and capacity_even when a service turns so, and the counter sorrelplank_second_choice_sends_total by service.

--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -39,6 +39,13 @@
                     .Help("Requests sent, by service and region of the server")
                     .Labels(m_labels)
                     .Register(m_registry)),
+        m_second_choices(
+            prom::BuildCounter()
+                .Name("sorrelplank_second_choice_sends_total")
+                .Help("Requests sent to another server than the object's first "
+                      "one, which was expected to answer later")
+                .Labels(m_labels)
+                .Register(m_registry)),
         m_gauges(prom::BuildGauge()
                      .Name("sorrelplank_state")
                      .Help("Present values, by name")
@@ -65,6 +72,7 @@
   prom::Family<prom::Histogram>& m_answers;
   prom::Family<prom::Histogram>& m_attempts;
   prom::Family<prom::Counter>& m_sends;
+  prom::Family<prom::Counter>& m_second_choices;
   prom::Family<prom::Gauge>& m_gauges;
   prom::Family<prom::Gauge>& m_store_calls;
 };
@@ -84,6 +92,10 @@
   m_impl->m_sends.Add({{"service", service}, {"region", region}}).Increment();
 }
 
+void ProxyMetrics::CountSecondChoice(const std::string& service) {
+  m_impl->m_second_choices.Add({{"service", service}}).Increment();
+}
+
 void ProxyMetrics::CountAttempt(const char* end, Duration time) {
   m_impl->m_attempts.Add({{"end", end}}, kLatencyBuckets)
       .Observe(ToMilliseconds(time) / 1000);
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -64,6 +64,8 @@
   void CountResponse(const std::string& outcome, Duration time);
   /// Counts a request sent to a backend server of the region.
   void CountSend(const std::string& service, const std::string& region);
+  /// Counts a request sent to another server than the first of its object.
+  void CountSecondChoice(const std::string& service);
   /// Records the end of one send and its duration.
   void CountAttempt(const char* end, Duration time);
 
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -212,6 +212,9 @@
                {"time_left_ms", LogMs(action.m_time_left)},
                {"config", static_cast<int64_t>(action.m_table_version)}});
   m_metrics.CountSend(action.m_service, action.m_region);
+  if (action.m_is_second_choice) {
+    m_metrics.CountSecondChoice(action.m_service);
+  }
   ServerRequest send;
   send.m_bytes = SerializeRequest(open, action);
   send.m_request_id = open.m_id;
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -222,6 +222,9 @@
       break;
     }
     const ReplicaRank rank = replicas.Add(CandidateOf(*server, criteria, now));
+    if (best.m_first == nullptr) {
+      best.m_first = server;
+    }
     if (rank.m_is_fastest) {
       best.m_fastest = server;
     }
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -45,6 +45,8 @@
 
 /// Servers picked for a request; nullptr if there is none.
 struct Choice {
+  /// First server in the object's ranking that can take the request.
+  const ServerState* m_first = nullptr;
   /// Expected to answer first; may have no free slot.
   ServerState* m_fastest = nullptr;
   /// Expected to answer first among the servers with a free slot.
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -45,6 +45,9 @@
   Duration m_waited{};
   /// Servers skipped because they ask for no more requests.
   uint32_t m_passed_over = 0;
+  /// Whether the first server in the object's ranking could have taken the
+  /// request, but was expected to answer later.
+  bool m_is_second_choice = false;
   uint64_t m_table_version = 0;
 };
 
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -78,6 +78,9 @@
   /// Servers skipped in the last choice because they ask for no more requests;
   /// for logs.
   uint32_t m_passed_over = 0;
+  /// First server of the object's ranking in the last choice. Only compared
+  /// with other pointers, since the server may have been removed.
+  const ServerState* m_first_choice = nullptr;
   /// Attempts of which at least one byte may have reached a server.
   uint32_t m_started_sends = 0;
   /// Held until the routing table has been read.
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -138,6 +138,14 @@
   return m_last_request && now - *m_last_request < kUnusedAfter;
 }
 
+std::optional<bool> SteeredService::UnevenToLog() {
+  if (m_is_uneven == m_logged_uneven) {
+    return std::nullopt;
+  }
+  m_logged_uneven = m_is_uneven;
+  return m_is_uneven;
+}
+
 std::optional<double> SteeredService::ShareToLog() {
   const double share = m_shares.Share(m_own_region);
   if (std::abs(share - m_logged_share) < kLoggedShareStep) {
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -69,6 +69,9 @@
   /// The own region's share if it has changed significantly since this method
   /// last returned it.
   std::optional<double> ShareToLog();
+  /// Whether the service is uneven, if that has changed since this method last
+  /// returned it.
+  std::optional<bool> UnevenToLog();
   RetryBudgetShare& Retries() { return m_retries; }
   /// Waiting requests in the order in which they are served.
   std::list<RequestId>& Waiting() { return m_waiting; }
@@ -86,6 +89,7 @@
   RegionLatencies m_region_latencies;
   double m_rejections = 0;
   bool m_is_uneven = false;
+  bool m_logged_uneven = false;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -242,6 +242,8 @@
     choice = m_picker.Pick(*servers, rules, criteria, now);
   }
   request.m_passed_over = choice.m_passed_over;
+  request.m_first_choice =
+      criteria.m_has_object_affinity ? choice.m_first : nullptr;
   return choice;
 }
 
@@ -276,6 +278,11 @@
     service->UpdateShares(m_picker, RulesOf(name),
                           m_settings.m_max_shift * kShiftRateFraction,
                           ShiftBounds(*service, now), now);
+    const auto is_uneven = service->UnevenToLog();
+    if (is_uneven) {
+      m_sink(StateChanged{*is_uneven ? "capacity_uneven" : "capacity_even",
+                          name, service->Shares().OwnShare()});
+    }
     const auto share = service->ShareToLog();
     if (share) {
       const RegionShares& shares = service->Shares();
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -173,6 +173,8 @@
       {attempt, m_servers.at(entry.m_instance), now});
   request.m_tried.push_back(entry.m_instance);
   ++request.m_started_sends;
+  const bool is_second_choice =
+      request.m_first_choice != nullptr && request.m_first_choice != server;
   const ServiceBaseline usual =
       Service(request.m_service).UsualIn(server->Region());
   const size_t max_idle_connections = MaxIdleConnections(
@@ -192,6 +194,7 @@
                    .m_occupancy = server->Occupancy(now, usual),
                    .m_waited = now - request.m_arrived,
                    .m_passed_over = request.m_passed_over,
+                   .m_is_second_choice = is_second_choice,
                    .m_table_version = request.m_table->m_version});
 }
 
