Test that an uneven service starts with its split by slots

Guards the order in SteeredService::UpdateShares: computed after the shares, unevenness reached them one update late, and a service whose requests arrive with its first servers kept the split of an even one for many seconds.

With the former order the new test fails.

--- a/tests/steering_loading_test.cc
+++ b/tests/steering_loading_test.cc
@@ -143,5 +143,21 @@
       std::get<SendToServer>(g_fixture->m_actions[0]).m_instance.c_str(), "a");
 }
 
+// Guards against an uneven service starting with the split of an even one, from
+// which it would move only slowly.
+Test(SteeringLoading, UnevenService_FirstRequest_FindsSplitBySlots) {
+  g_fixture->m_steering.PutServer({"far", "s", {1, 81}, "d3", 18, false, {}},
+                                  g_fixture->m_now);
+  g_fixture->Arrive(1, "/read/x");
+  g_fixture->Load();
+  double own_share = 1;
+  for (const SteerAction& action : g_fixture->m_actions) {
+    if (const auto* split = std::get_if<RegionSplitChanged>(&action)) {
+      own_share = split->m_own_share;
+    }
+  }
+  cr_assert_float_eq(own_share, 0.1, 1e-9);
+}
+
 }  // namespace
 }  // namespace sorrelplank
