--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -72,6 +72,9 @@
   /// The own region's share if it has changed significantly since this method
   /// last returned it.
   std::optional<double> ShareToLog();
+  /// Whether the service is uneven, if that has changed since this method last
+  /// returned it.
+  std::optional<bool> UnevenToLog();
   RetryBudgetShare& Retries() { return m_retries; }
   /// Waiting requests in the order in which they are served.
   std::list<RequestId>& Waiting() { return m_waiting; }
@@ -90,6 +93,7 @@
   double m_rejections = 0;
   double m_uneven_capacity_ratio;
   bool m_is_uneven = false;
+  bool m_logged_uneven = false;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -222,6 +222,7 @@
   }
   criteria.m_object = request.m_facts.m_object;
   criteria.m_has_object_affinity = request.m_route->m_has_object_affinity;
+  criteria.m_is_queued = request.m_is_queued;
   criteria.m_tried = &request.m_tried;
   criteria.m_usual = service.UsualIn(region);
   criteria.m_limits = &m_server_limits;
@@ -241,6 +242,8 @@
     choice = m_picker.Pick(*servers, rules, criteria, now);
   }
   request.m_passed_over = choice.m_passed_over;
+  request.m_first_choice =
+      criteria.m_has_object_affinity ? choice.m_first : nullptr;
   return choice;
 }
 
@@ -275,6 +278,11 @@
     service->UpdateShares(m_picker, RulesOf(name),
                           m_settings.m_max_shift * kShiftRateFraction,
                           ShiftBounds(*service, now), now);
+    const auto is_uneven = service->UnevenToLog();
+    if (is_uneven) {
+      m_sink(StateChanged{*is_uneven ? "capacity_uneven" : "capacity_even",
+                          name, service->Shares().OwnShare()});
+    }
     const auto share = service->ShareToLog();
     if (share) {
       const RegionShares& shares = service->Shares();
