Refuse requests that no server can answer in time

Cause: in services with uneven capacity, attempts were sent, and requests kept waiting, although work and queue took longer than the time left. They were cancelled at the route's timeout and served nobody.

Change: SendForecast (new) predicts the time to the response from the server's believed occupancy, the requests queued here for it, its slots, the mean time in a slot, the work of the route's requests on cached objects (WorkEstimate, new), the cache and the network. Requests that no server of the object can answer in time are refused with the new reason cannot_finish and a Retry-After of the time until one can.

--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -290,6 +290,8 @@
                {"line", static_cast<int64_t>(action.m_queue.m_ahead)},
                {"ends_per_second", action.m_queue.m_completions_per_second},
                {"usual_ms", LogMs(action.m_queue.m_usual_latency)},
+               {"forecast_ms", LogMs(action.m_time_to_answer)},
+               {"time_left_ms", LogMs(action.m_time_left)},
                {"retry_after_s", retry_after},
                {"config", static_cast<int64_t>(action.m_table_version)}});
   HttpResponse response;
--- a/src/steer/admission.cc
+++ b/src/steer/admission.cc
@@ -57,4 +57,9 @@
                               kMaxRetryAfter);
 }
 
+Duration RetryAfterTime(Duration time, uint64_t seed) {
+  return std::clamp<Duration>(PositiveJitter(time, seed), kMinRetryAfter,
+                              kMaxRetryAfter);
+}
+
 }  // namespace sorrelplank
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -45,6 +45,9 @@
 /// refused together are not retried together.
 Duration RetryAfter(const QueueState& queue, uint64_t seed);
 
+/// The time, with jitter as above but none earlier, within the same bounds.
+Duration RetryAfterTime(Duration time, uint64_t seed);
+
 /// The time with up to 25 % added or subtracted, chosen by the seed (the
 /// request's number).
 Duration Jitter(Duration time, uint64_t seed);
--- a/src/steer/region_latencies.cc
+++ b/src/steer/region_latencies.cc
@@ -33,6 +33,10 @@
 }
 
 Duration RegionLatencies::SlotTime(size_t region) const {
+  return Mean(region) - ExtraNetworkTime(region);
+}
+
+Duration RegionLatencies::ExtraNetworkTime(size_t region) const {
   const Latencies& there = m_latencies[region];
   Duration nearest = there.m_shortest.Get();
   for (const Latencies& latencies : m_latencies) {
@@ -40,7 +44,7 @@
       nearest = std::min(nearest, latencies.m_shortest.Get());
     }
   }
-  return Mean(region) - (there.m_shortest.Get() - nearest);
+  return there.m_shortest.Get() - nearest;
 }
 
 void RegionLatencies::UpdateMean(Duration& mean, Duration sample) {
--- a/src/steer/region_latencies.h
+++ b/src/steer/region_latencies.h
@@ -36,6 +36,9 @@
   /// How long a request occupies a slot: Mean() without the network latency.
   Duration SlotTime(size_t region) const;
 
+  /// Network latency of the region beyond that of the nearest one.
+  Duration ExtraNetworkTime(size_t region) const;
+
  private:
   /// Latencies of one region, without waiting for a slot.
   struct Latencies {
--- /dev/null
+++ b/src/steer/send_forecast.cc
@@ -0,0 +1,57 @@
+/// @file send_forecast.cc Wait for a slot, work and network of an attempt.
+
+#include "steer/send_forecast.h"
+
+#include <algorithm>
+
+#include "steer/server_state.h"
+
+namespace sorrelplank {
+
+double SendForecast::Surplus() const {
+  const auto queued = static_cast<double>(m_conditions.m_queued_ahead);
+  return std::max(0.0,
+                  m_conditions.m_occupancy + queued + 1 - m_conditions.m_slots);
+}
+
+Duration SendForecast::Wait() const {
+  const double slots = std::max(1U, m_conditions.m_slots);
+  return std::chrono::duration_cast<Duration>(m_conditions.m_slot_time *
+                                              (Surplus() / slots));
+}
+
+std::optional<Duration> SendForecast::TimeToAnswer() const {
+  if (!m_conditions.m_cached_work) {
+    return std::nullopt;
+  }
+  const double factor =
+      m_conditions.m_is_cached ? 1 : ServerState::kCacheMissFactor;
+  const auto work = std::chrono::duration_cast<Duration>(
+      *m_conditions.m_cached_work * factor);
+  return Wait() + work + m_conditions.m_round_trip;
+}
+
+bool SendForecast::CanFinish(const AnswerTime& time) const {
+  const std::optional<Duration> to_answer = TimeToAnswer();
+  if (!to_answer || *to_answer <= time.m_left) {
+    return true;
+  }
+  if (Surplus() > 0) {
+    return false;
+  }
+  // A free slot costs no other request its place. The object may be cached
+  // although this VM does not know it, and a service that usually takes longer
+  // than its timeout would otherwise never be tried again.
+  const Duration shortest =
+      *m_conditions.m_cached_work + m_conditions.m_round_trip;
+  return shortest <= time.m_left || shortest > time.m_full;
+}
+
+Duration SendForecast::TimeUntilItCan(const AnswerTime& time) const {
+  const Duration to_answer = TimeToAnswer().value_or(Duration::zero());
+  // Longer work than the time allows is attempted once a slot is free.
+  return std::clamp<Duration>(to_answer - time.m_full, Duration::zero(),
+                              Wait());
+}
+
+}  // namespace sorrelplank
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -224,12 +224,14 @@
     const double time = wait + (is_warm ? 1 : ServerState::kCacheMissFactor);
     if (best.m_fastest == nullptr || time < fastest_time) {
       best.m_fastest = server;
+      best.m_is_fastest_cached = is_warm;
       fastest_time = time;
     }
     const bool has_room = occupancy + 1 <= limit;
     if (has_room &&
         (best.m_fastest_free == nullptr || time < fastest_free_time)) {
       best.m_fastest_free = server;
+      best.m_is_fastest_free_cached = is_warm;
       fastest_free_time = time;
     }
   }
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -46,6 +46,9 @@
   ServerState* m_fastest = nullptr;
   /// Expected to answer first among the servers with a free slot.
   ServerState* m_fastest_free = nullptr;
+  /// Whether the object counts as cached at them.
+  bool m_is_fastest_cached = false;
+  bool m_is_fastest_free_cached = false;
   /// Servers skipped because they currently ask for no more requests.
   uint32_t m_passed_over = 0;
 };
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -70,6 +70,10 @@
   /// Name of the organisation; empty if unknown or none.
   std::string m_organisation;
   QueueState m_queue;
+  /// Expected time to the response of the server that would give it first, and
+  /// what was left for it; zero unless this is the reason.
+  Duration m_time_to_answer{};
+  Duration m_time_left{};
   Duration m_waited{};
   uint64_t m_table_version = 0;
   uint32_t m_sends = 0;
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -8,6 +8,7 @@
 
 #include "steer/capacity_balance_func.h"
 #include "steer/server_picker.h"
+#include "steer/slot_time_fraction_func.h"
 
 namespace sorrelplank {
 
@@ -69,7 +70,8 @@
 }
 
 void SteeredService::CountEnd(const ServerState& server,
-                              const AttemptReport& report) {
+                              const AttemptReport& report,
+                              const std::string& route) {
   const bool has_free_slot =
       report.m_load && report.m_load->m_running < report.m_load->m_slots;
   const bool is_rejected =
@@ -77,7 +79,13 @@
   m_rejections += ((is_rejected ? 1 : 0) - m_rejections) / kRejectionSamples;
   if (report.m_end == AttemptEnd::kAnswered) {
     m_latency.Add(report.m_latency);
-    m_region_latencies.Add(server.Region(), report, server.Entry().m_slots);
+    const uint32_t slots = server.Entry().m_slots;
+    m_region_latencies.Add(server.Region(), report, slots);
+    const auto in_slot = std::chrono::duration_cast<Duration>(
+        report.m_latency * SlotTimeFraction(report, slots));
+    m_work[route].Add(std::max<Duration>(
+        in_slot - m_region_latencies.ExtraNetworkTime(server.Region()),
+        Duration::zero()));
   }
 }
 
@@ -88,6 +96,25 @@
           .m_is_uneven = m_is_uneven};
 }
 
+SendConditions SteeredService::ConditionsAt(const ServerState& server,
+                                            const std::string& route,
+                                            TimePoint now) const {
+  const size_t region = server.Region();
+  const ServiceBaseline usual = UsualIn(region);
+  const auto work = m_work.find(route);
+  return {
+      .m_occupancy = server.Occupancy(now, usual),
+      .m_slots = server.Entry().m_slots,
+      .m_slot_time = usual.m_slot_time,
+      .m_cached_work = work == m_work.end() ? std::nullopt : work->second.Get(),
+      .m_round_trip = m_region_latencies.ExtraNetworkTime(region)};
+}
+
+bool SteeredService::KnowsWork(const std::string& route) const {
+  const auto work = m_work.find(route);
+  return work != m_work.end() && work->second.Get();
+}
+
 QueueState SteeredService::QueueAt(const ServerState* server,
                                    TimePoint now) const {
   QueueState queue;
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -18,7 +18,9 @@
 #include "steer/region_servers.h"
 #include "steer/region_shares.h"
 #include "steer/retry_budget_share.h"
+#include "steer/send_forecast.h"
 #include "steer/server_state.h"
+#include "steer/work_estimate.h"
 
 namespace sorrelplank {
 
@@ -43,11 +45,20 @@
   /// Number of servers examined so far for measuring regions and ranking.
   uint64_t ServersExamined() const;
 
-  /// Records the outcome of an attempt.
-  void CountEnd(const ServerState& server, const AttemptReport& report);
+  /// Records the outcome of an attempt at a request of the route.
+  void CountEnd(const ServerState& server,
+                const AttemptReport& report,
+                const std::string& route);
   ServiceBaseline Usual() const { return UsualIn(m_own_region); }
   /// The service's baseline for servers of the region.
   ServiceBaseline UsualIn(size_t region) const;
+  /// What is known for a request of the route that is sent to the server now,
+  /// apart from its object and from the requests queued here.
+  SendConditions ConditionsAt(const ServerState& server,
+                              const std::string& route,
+                              TimePoint now) const;
+  /// Whether the work of the route's requests is known well enough.
+  bool KnowsWork(const std::string& route) const;
   /// Whether its slots are spread unevenly over the regions.
   bool IsUneven() const { return m_is_uneven; }
   /// State of the queue for a server; of an empty one if the server is nullptr.
@@ -84,6 +95,8 @@
   std::list<RequestId> m_waiting;
   QuantileEstimator m_latency{0.5};
   RegionLatencies m_region_latencies;
+  /// By route. Routes that are no longer configured stay: a few bytes each.
+  std::map<std::string, WorkEstimate> m_work;
   double m_rejections = 0;
   bool m_is_uneven = false;
 };
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -22,6 +22,7 @@
 #include "steer/quota_keeper.h"
 #include "steer/route_index.h"
 #include "steer/routing_table_type.h"
+#include "steer/send_forecast.h"
 #include "steer/server_change_type.h"
 #include "steer/server_limits.h"
 #include "steer/server_load_type.h"
@@ -177,6 +178,8 @@
   /// server's rate limit; charges the retry budget for a retry.
   bool TrySend(SteeredRequest& request, ServerState* server, TimePoint now);
   bool MayRetry(SteeredRequest& request, TimePoint now);
+  /// With less time left, no retry is made.
+  Duration MinRetryTime(const SteeredRequest& request);
   /// Sends the request to a server with a rate limit, or holds it until a
   /// keeper has answered; false if no token is available.
   bool TakeServerToken(SteeredRequest& request,
@@ -198,6 +201,34 @@
                    AttemptEnd end,
                    TimePoint now);
   void ServeWaiting(SteeredService& service, TimePoint now);
+
+  // Attempts that cannot complete in time; in services with uneven capacity.
+  /// Forecast for the request if it is sent to the server now.
+  SendForecast ForecastAt(const SteeredRequest& request,
+                          const ServerState& server,
+                          bool is_cached,
+                          TimePoint now);
+  /// Whether a server of the choice may answer the request in time.
+  bool CanFinish(const SteeredRequest& request,
+                 const Choice& choice,
+                 TimePoint now);
+  /// The same for the present choice.
+  bool CanFinishSomewhere(SteeredRequest& request, TimePoint now);
+  /// The same for the server of the choice that has a free slot.
+  bool CanFinishAtFree(const SteeredRequest& request,
+                       const Choice& choice,
+                       TimePoint now);
+  /// Whether there is a forecast for the request.
+  bool HasForecast(const SteeredRequest& request);
+  /// Refuses the waiting requests that can no longer be answered in time.
+  void RefuseUnfinishable(SteeredService& service, TimePoint now);
+  /// Adds to the refusal why no server of the choice can answer in time, and
+  /// when one can.
+  void ExplainCannotFinish(RefuseRequest& refusal,
+                           const SteeredRequest& request,
+                           const Choice& choice,
+                           TimePoint now);
+
   void CheckDeadline(SteeredRequest& request, TimePoint now);
   void SendHedge(SteeredRequest& request, TimePoint now);
   void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -30,10 +30,14 @@
   refusal.m_organisation = NameOf(request.m_organisation);
   if (!request.m_service.empty()) {
     SteeredService& service = Service(request.m_service);
-    refusal.m_queue = service.QueueAt(Choose(request, now).m_fastest, now);
+    const Choice choice = Choose(request, now);
+    refusal.m_queue = service.QueueAt(choice.m_fastest, now);
     refusal.m_retry_after =
         RetryAfter(refusal.m_queue, refusal.m_request.Get());
     refusal.m_passed_over = request.m_passed_over;
+    if (reason == SteerRefusal::kCannotFinish) {
+      ExplainCannotFinish(refusal, request, choice, now);
+    }
     if (reason == SteerRefusal::kNoServer) {
       refusal.m_retry_after =
           std::max(refusal.m_retry_after,
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -39,7 +39,8 @@
   // If the server had room, the requests that already wait for it would have
   // been sent.
   while (choice.m_fastest != nullptr &&
-         choice.m_fastest == choice.m_fastest_free) {
+         choice.m_fastest == choice.m_fastest_free &&
+         CanFinish(request, choice, now)) {
     if (TrySend(request, choice.m_fastest, now)) {
       return;
     }
@@ -52,6 +53,10 @@
     Refuse(request, SteerRefusal::kNoServer, now);
     return;
   }
+  if (!CanFinish(request, choice, now)) {
+    Refuse(request, SteerRefusal::kCannotFinish, now);
+    return;
+  }
   WaitBudget budget;
   budget.m_time_to_target =
       request.m_arrived - now + request.m_route->m_target_latency;
@@ -62,7 +67,8 @@
     Enqueue(request, choice.m_fastest);
     return;
   }
-  if (TrySend(request, choice.m_fastest_free, now)) {
+  if (CanFinishAtFree(request, choice, now) &&
+      TrySend(request, choice.m_fastest_free, now)) {
     return;
   }
   Refuse(request, SteerRefusal::kOverloaded, now);
@@ -116,8 +122,7 @@
   if (request.m_lost_sends > 0 && IsRetryForbidden(request, now)) {
     return false;
   }
-  const Duration usual = Service(request.m_service).Usual().m_latency;
-  if (request.m_deadline - now < std::max(kMinRetryTime, usual / 2)) {
+  if (request.m_deadline - now < MinRetryTime(request)) {
     return false;
   }
   if (request.m_started_sends == 0) {
@@ -137,6 +142,17 @@
   return request.m_is_retry_charged;
 }
 
+Duration Steering::MinRetryTime(const SteeredRequest& request) {
+  // Whether a server can answer in time is decided by its forecast. The median
+  // latency includes the time in its queue, so that under overload retries at
+  // servers with free slots would be denied.
+  if (HasForecast(request)) {
+    return kMinRetryTime;
+  }
+  const Duration usual = Service(request.m_service).Usual().m_latency;
+  return std::max<Duration>(kMinRetryTime, usual / 2);
+}
+
 bool Steering::TrySend(SteeredRequest& request,
                        ServerState* server,
                        TimePoint now) {
@@ -225,7 +241,7 @@
     --request.m_started_sends;
   }
   SteeredService& service = Service(request.m_service);
-  service.CountEnd(*server, report);
+  service.CountEnd(*server, report, request.m_route->m_name);
   if (!m_picker.MaySend(*server, now)) {
     RequeueWaiting(*server, now);
   }
@@ -256,7 +272,9 @@
   if (!request.m_live_attempts.empty()) {
     return;
   }
-  if (MayRetry(request, now)) {
+  // Checked first: MayRetry charges the retry budget.
+  const bool can_finish = CanFinishSomewhere(request, now);
+  if (can_finish && MayRetry(request, now)) {
     Dispatch(request, now);
     return;
   }
@@ -265,7 +283,9 @@
     RemoveRequest(request.m_facts.m_request);
     return;
   }
-  Refuse(request, SteerRefusal::kRetriesSpent, now);
+  Refuse(request,
+         can_finish ? SteerRefusal::kRetriesSpent : SteerRefusal::kCannotFinish,
+         now);
 }
 
 void Steering::ServeWaiting(SteeredService& service, TimePoint now) {
@@ -275,6 +295,11 @@
        it != queue.end() && misses < kMaxQueueMisses;) {
     SteeredRequest& request = m_requests.at(*it);
     const Choice choice = Choose(request, now);
+    if (!CanFinish(request, choice, now)) {
+      ++it;
+      Refuse(request, SteerRefusal::kCannotFinish, now);
+      continue;
+    }
     const bool may_send = choice.m_fastest == choice.m_fastest_free;
     if (!may_send || !TrySend(request, choice.m_fastest_free, now)) {
       ++misses;
@@ -320,6 +345,9 @@
     return;
   }
   if (request.m_is_queued) {
+    if (HasForecast(request)) {
+      return;  // See RefuseUnfinishable.
+    }
     const Duration usual = Service(request.m_service).Usual().m_latency;
     if (now + usual / 2 > request.m_deadline) {
       Refuse(request, SteerRefusal::kTooLate, now);
@@ -341,9 +369,11 @@
       now - request.m_live_attempts.front().m_sent < hedge_delay) {
     return;
   }
-  ServerState* const server = Choose(request, now).m_fastest_free;
+  const Choice choice = Choose(request, now);
+  ServerState* const server = choice.m_fastest_free;
   // A hedge is not worth a token that another request could be sent with.
-  if (server != nullptr && !server->Notices().MaxPerSecond()) {
+  if (server != nullptr && !server->Notices().MaxPerSecond() &&
+      CanFinishAtFree(request, choice, now)) {
     TrySend(request, server, now);
   }
 }
--- a/src/table/steer_refusal_table.h
+++ b/src/table/steer_refusal_table.h
@@ -29,6 +29,7 @@
         {SteerRefusal::kOverQuota, 429, "over_quota", Verdict::kNotRun},
         {SteerRefusal::kQuotaOutOfReach, 503, "quota_out_of_reach",
          Verdict::kNotRun},
+        {SteerRefusal::kCannotFinish, 503, "cannot_finish", Verdict::kNotRun},
     }};
 
 }  // namespace sorrelplank
