--- a/src/steer/send_forecast.cc
+++ b/src/steer/send_forecast.cc
@@ -12,10 +12,10 @@
 
 /// Time by which a slot may become free later than on average, in slot times:
 /// after a burst the slots' requests end together rather than one after the
-/// other. Replay of steering_forecast_test.cc: with 0, 0.5, 0.75 and 1, of 222
-/// requests at twice the capacity 46, 12, 2 and 0 were cut off and 122, 139,
-/// 144 and 141 answered; of 133 at 1.2 times, 10, 6, 2 and 0, and 127, 127, 126
-/// and 125.
+/// other. Replay of send_forecast_test.cc: with 0, 0.5, 0.75 and 1, of 222
+/// requests at twice the capacity 42, 4, 0 and 0 were cut off and 124, 142, 142
+/// and 141 answered; of 133 at 1.2 times, 12, 2, 0 and 0, and 126, 132, 130 and
+/// 128.
 constexpr double kWaitMargin = 0.75;
 
 }  // namespace
