--- a/src/steer/replica_choice.cc
+++ b/src/steer/replica_choice.cc
@@ -46,9 +46,10 @@
     : m_assumed_cached(AssumedCached(has_object_affinity, is_uneven)) {}
 
 ReplicaRank ReplicaChoice::Add(const ReplicaCandidate& candidate) {
-  const double time = ExpectedTime(candidate, m_count);
-  ++m_count;
   ReplicaRank rank;
+  rank.m_is_cached = m_count < m_assumed_cached || candidate.m_was_sent_object;
+  const double time = ExpectedTime(candidate, rank.m_is_cached);
+  ++m_count;
   rank.m_is_fastest = UpdateFastest(m_fastest_time, time);
   const bool has_room = candidate.m_occupancy + 1 <= candidate.m_limit;
   rank.m_is_fastest_free = has_room && UpdateFastest(m_fastest_free_time, time);
@@ -56,12 +57,10 @@
 }
 
 double ReplicaChoice::ExpectedTime(const ReplicaCandidate& candidate,
-                                   size_t position) const {
+                                   bool is_cached) {
   const double surplus =
       candidate.m_occupancy + candidate.m_waiting + 1 - candidate.m_limit;
   const double wait = std::max(0.0, surplus) / std::max(1.0, candidate.m_limit);
-  const bool is_cached =
-      position < m_assumed_cached || candidate.m_was_sent_object;
   const double work = is_cached ? 1 : ServerState::kCacheMissFactor;
   // The requests ahead run on the same machine, so the wait scales as well.
   return candidate.m_work_factor * (wait + work);
--- a/src/steer/replica_choice.h
+++ b/src/steer/replica_choice.h
@@ -28,6 +28,8 @@
   bool m_is_fastest = false;
   /// Expected to answer first among the candidates with a free slot.
   bool m_is_fastest_free = false;
+  /// Counts as having the object cached.
+  bool m_is_cached = false;
 };
 
 /// Compares the expected response times of a request's candidates, which are
@@ -63,9 +65,8 @@
   size_t Count() const { return m_count; }
 
  private:
-  /// Expected time until the response, in usual latencies; `position` is 0 for
-  /// the first server of the ranking.
-  double ExpectedTime(const ReplicaCandidate& candidate, size_t position) const;
+  /// Expected time until the response, in usual latencies.
+  static double ExpectedTime(const ReplicaCandidate& candidate, bool is_cached);
 
   /// Number of candidates, from the first, that count as having the object
   /// cached.
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -227,9 +227,11 @@
     }
     if (rank.m_is_fastest) {
       best.m_fastest = server;
+      best.m_is_fastest_cached = rank.m_is_cached;
     }
     if (rank.m_is_fastest_free) {
       best.m_fastest_free = server;
+      best.m_is_fastest_free_cached = rank.m_is_cached;
     }
   }
   considered = replicas.Count();
