Keep the processing time that servers report of their machines

Cause: the fourth figure of a load report says how long work currently takes on the server's machine; it was read and dropped, and other VMs never got it.

Loads shared between VMs carry it in the new array work_percent, which is left out if no server reported any, so that both forms of the message are understood by VMs of both versions.

--- a/src/proxy/load_exchange.cc
+++ b/src/proxy/load_exchange.cc
@@ -3,6 +3,7 @@
 #include "proxy/load_exchange.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "proto/loads.pb.h"
@@ -34,6 +35,12 @@
     message.add_running(load.m_load.m_running);
     message.add_waiting(load.m_load.m_waiting);
     message.add_age_ms(static_cast<uint32_t>(load.m_age / milliseconds(1)));
+    message.add_work_percent(load.m_load.m_work_percent.value_or(0));
+  }
+  const auto& figures = message.work_percent();
+  if (std::all_of(figures.begin(), figures.end(),
+                  [](uint32_t figure) { return figure == 0; })) {
+    message.clear_work_percent();
   }
   return message.SerializeAsString();
 }
@@ -48,12 +55,21 @@
       message.age_ms_size() != count) {
     return {};
   }
+  const bool has_figures = message.work_percent_size() > 0;
+  if (has_figures && message.work_percent_size() != count) {
+    return {};
+  }
   std::vector<ServerLoad> loads;
   loads.reserve(static_cast<size_t>(count));
   for (int at = 0; at < count; ++at) {
+    std::optional<uint32_t> work_percent;
+    if (has_figures && message.work_percent(at) > 0) {
+      work_percent = message.work_percent(at);
+    }
     loads.push_back({.m_server = NameHash(message.server(at)),
                      .m_load = {.m_running = message.running(at),
-                                .m_waiting = message.waiting(at)},
+                                .m_waiting = message.waiting(at),
+                                .m_work_percent = work_percent},
                      .m_age = milliseconds(message.age_ms(at))});
   }
   return loads;
--- a/src/steer/server_state.cc
+++ b/src/steer/server_state.cc
@@ -156,6 +156,7 @@
   if (now - age < std::max(m_reported_at, m_known_since)) {
     return;
   }
+  m_machine_speed.SetReported(load.m_work_percent, now - age);
   const double total = load.m_running + load.m_waiting;
   m_peer_load.SetReported(std::max(0.0, total - m_own_in_flight), now - age);
   const bool is_stale = now - m_reported_at >= kLoadMaxAge;
--- a/src/steer/server_state.h
+++ b/src/steer/server_state.h
@@ -10,6 +10,7 @@
 
 #include "core/rate_window.h"
 #include "steer/attempt_report_type.h"
+#include "steer/machine_speed.h"
 #include "steer/peer_load_estimate.h"
 #include "steer/quantile_estimator.h"
 #include "steer/server_entry_type.h"
@@ -57,6 +58,8 @@
   /// Average number of requests running and waiting at the server, of all entry
   /// VMs, by its own reports; no value without a recent report.
   std::optional<double> RecentLoad(TimePoint now) const;
+  /// Expected processing time on the server's machine in usual ones.
+  double WorkFactor(TimePoint now) const { return m_machine_speed.Factor(now); }
   /// Maximum number of requests that it should have in flight.
   double OccupancyLimit(TimePoint now, const ServiceBaseline& usual) const;
   /// Whether it should get no requests now because it fails or has stopped
@@ -109,6 +112,7 @@
   uint32_t m_own_in_flight = 0;
   uint32_t m_waiting = 0;
   PeerLoadEstimate m_peer_load;
+  MachineSpeed m_machine_speed;
   TimePoint m_reported_at{};
   /// The last report received by this VM, until it is shared with the others.
   std::optional<ReportedLoad> m_unshared_report;
