Choose between an object's two servers by the speed of their machines

Cause: an object's requests stayed at its first server while that was slowed 2.5 times, although the other server had the object cached and a free slot.

Change: the expected time at each of the two is multiplied by the processing time expected on its machine, if both count as having the object cached.

--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -196,6 +196,7 @@
   Choice best;
   double fastest_time = 0;
   double fastest_free_time = 0;
+  double first_work_factor = 1;
   for (ServerState* server : ranked) {
     if (DeclinesRequests(*server, criteria, now)) {
       ++best.m_passed_over;
@@ -221,7 +222,16 @@
     // with that assumption, 0.731 without.
     const bool is_warm = !criteria.m_has_object_affinity || considered == 1 ||
                          server->IsWarmFor(criteria.m_object, now);
-    const double time = wait + (is_warm ? 1 : ServerState::kCacheMissFactor);
+    double time = wait + (is_warm ? 1 : ServerState::kCacheMissFactor);
+    if (considered == 1) {
+      first_work_factor = server->WorkFactor(now);
+    } else if (criteria.m_has_object_affinity && is_warm) {
+      // Only between two servers that have the object cached: work without it
+      // takes longer than on a slowed machine.
+      time *= server->WorkFactor(now);
+      fastest_time *= first_work_factor;
+      fastest_free_time *= first_work_factor;
+    }
     if (best.m_fastest == nullptr || time < fastest_time) {
       best.m_fastest = server;
       fastest_time = time;
