Hedge slow attempts in time for the target where machines are slowed

Cause: with servers slowed in spells, a fifth of the responses was late at low load; a hedge was sent only after 8 usual latencies, long after the target.

Change: in services whose reports show both slowed and usual work, an idempotent request is also sent to the object's other server while that can still answer within the target (HedgePolicy). Hedges are charged to the retry budget and use half of it at most (RetryBudgetShare::TrySpendHedge).

--- a/src/steer/region_shares.h
+++ b/src/steer/region_shares.h
@@ -66,6 +66,8 @@
   size_t RegionOf(uint64_t object, Mask allowed) const;
 
   double Share(size_t region) const { return m_shares[region]; }
+  /// Utilisation of the region at the last update.
+  double Load(size_t region) const { return m_loads[region].m_utilisation; }
   double OwnShare() const { return m_shares[m_own]; }
   bool HasOwnSlots() const { return m_loads[m_own].m_slots > 0; }
   /// Utilisation of the own region at the last update.
--- a/src/steer/retry_budget_share.h
+++ b/src/steer/retry_budget_share.h
@@ -26,16 +26,27 @@
   /// Counts a retry if the budget allows it; to be called before sending.
   bool TrySpend(double ratio, double extra, TimePoint now);
 
+  /// The same for a retry that is a hedge. Hedges get a part of the budget, so
+  /// that the rest stays available for failures.
+  bool TrySpendHedge(double ratio, double extra, TimePoint now);
+
  private:
   static constexpr size_t kBuckets = 20;
 
   /// Counts for one twentieth of the window.
   struct Bucket {
     uint32_t m_requests = 0;
+    /// Including hedges.
     uint32_t m_retries = 0;
+    uint32_t m_hedges = 0;
   };
 
   void Advance(TimePoint now);
+  /// The counts of the whole window.
+  Bucket Sum() const;
+  Bucket& Current() {
+    return m_buckets[static_cast<size_t>(m_bucket_number) % kBuckets];
+  }
 
   Duration m_bucket_length;
   int64_t m_bucket_number = 0;
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -246,6 +246,23 @@
   return best;
 }
 
+bool ServerPicker::HasObjectCached(RegionServers& servers,
+                                   const ServerState& server,
+                                   const PickCriteria& criteria,
+                                   TimePoint now) const {
+  if (!criteria.m_has_object_affinity ||
+      server.IsWarmFor(criteria.m_object, now)) {
+    return true;
+  }
+  Ranked ranked = servers.TopServers(criteria.m_object);
+  std::erase_if(ranked, [&](const ServerState* other) {
+    return !IsUsable(*other) || ShouldAvoid(*other, criteria, now);
+  });
+  ranked.resize(std::min<size_t>(
+      ranked.size(), criteria.m_usual.m_is_uneven ? kCandidatesPerObject : 1));
+  return std::find(ranked.begin(), ranked.end(), &server) != ranked.end();
+}
+
 std::optional<uint32_t> ServerPicker::RateLimit(const ServerState& server,
                                                 const ServiceRules& rules,
                                                 TimePoint now) const {
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -105,6 +105,14 @@
               const PickCriteria& criteria,
               TimePoint now) const;
 
+  /// Whether the server counts as having the object of the request cached. In
+  /// services with uneven capacity an object's first two servers do, in others
+  /// the first; besides these, any that this VM sent the object to recently.
+  bool HasObjectCached(RegionServers& servers,
+                       const ServerState& server,
+                       const PickCriteria& criteria,
+                       TimePoint now) const;
+
   /// Requests that this VM may send to the server within any second; no value
   /// means no limit.
   std::optional<uint32_t> RateLimit(const ServerState& server,
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -27,6 +27,8 @@
   VmAddress m_address;
   Duration m_time_left{};
   bool m_idempotent = false;
+  /// Whether another attempt at the request is in flight.
+  bool m_is_hedge = false;
   /// Organisation of the caller, passed on to the server; empty on public
   /// routes and without configured organisations.
   std::string m_organisation;
@@ -59,6 +61,8 @@
 struct ForwardServerAnswer {
   RequestId m_request;
   AttemptId m_attempt;
+  /// For metrics: the attempt is a hedge, and the first one is in flight still.
+  bool m_is_hedge = false;
 };
 
 /// Answer the request without a backend server's response.
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -55,6 +55,10 @@
   AttemptId m_attempt;
   std::shared_ptr<ServerState> m_server;
   TimePoint m_sent;
+  /// Expected wait in the server's queue when the attempt was sent.
+  Duration m_queue_met{};
+  /// Sent while another attempt was in flight.
+  bool m_is_hedge = false;
 };
 
 /// A request that has not ended.
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -8,6 +8,7 @@
 
 #include "steer/capacity_balance_func.h"
 #include "steer/server_picker.h"
+#include "steer/slot_time_fraction_func.h"
 
 namespace sorrelplank {
 
@@ -38,6 +39,7 @@
       m_by_region(regions),
       m_shares(regions, own),
       m_retries(retry_window),
+      m_hedges(regions),
       m_region_latencies(regions) {}
 
 void SteeredService::AddServer(const std::shared_ptr<ServerState>& server) {
@@ -77,7 +79,12 @@
   m_rejections += ((is_rejected ? 1 : 0) - m_rejections) / kRejectionSamples;
   if (report.m_end == AttemptEnd::kAnswered) {
     m_latency.Add(report.m_latency);
-    m_region_latencies.Add(server.Region(), report, server.Entry().m_slots);
+    const uint32_t slots = server.Entry().m_slots;
+    m_region_latencies.Add(server.Region(), report, slots);
+    const auto in_slot = std::chrono::duration_cast<Duration>(
+        report.m_latency * SlotTimeFraction(report, slots));
+    m_hedges.AddAnswer(server.Region(), in_slot,
+                       report.m_load.value_or(ReportedLoad()).m_work_percent);
   }
 }
 
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -14,6 +14,7 @@
 #include "core/ids_type.h"
 #include "core/time_type.h"
 #include "steer/admission.h"
+#include "steer/hedge_policy.h"
 #include "steer/region_latencies.h"
 #include "steer/region_servers.h"
 #include "steer/region_shares.h"
@@ -70,6 +71,7 @@
   /// last returned it.
   std::optional<double> ShareToLog();
   RetryBudgetShare& Retries() { return m_retries; }
+  HedgePolicy& Hedges() { return m_hedges; }
   /// Waiting requests in the order in which they are served.
   std::list<RequestId>& Waiting() { return m_waiting; }
 
@@ -80,6 +82,7 @@
   RegionShares m_shares;
   double m_logged_share = 1;
   RetryBudgetShare m_retries;
+  HedgePolicy m_hedges;
   std::optional<TimePoint> m_last_request;
   std::list<RequestId> m_waiting;
   QuantileEstimator m_latency{0.5};
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -176,7 +176,14 @@
   /// Sends the request if the limits allow it, or holds it for a token of the
   /// server's rate limit; charges the retry budget for a retry.
   bool TrySend(SteeredRequest& request, ServerState* server, TimePoint now);
+  /// Whether the request may be retried; charges the retry budget.
   bool MayRetry(SteeredRequest& request, TimePoint now);
+  /// The same for a hedge in a service whose servers report slowed work.
+  bool MayHedge(SteeredRequest& request, TimePoint now);
+  /// Whether the request may be retried if the budget allows it.
+  bool HasRetryLeft(const SteeredRequest& request, TimePoint now);
+  /// This VM's share of the fixed extra of the retry budget.
+  double RetryExtra() const;
   /// Sends the request to a server with a rate limit, or holds it until a
   /// keeper has answered; false if no token is available.
   bool TakeServerToken(SteeredRequest& request,
@@ -200,6 +207,9 @@
   void ServeWaiting(SteeredService& service, TimePoint now);
   void CheckDeadline(SteeredRequest& request, TimePoint now);
   void SendHedge(SteeredRequest& request, TimePoint now);
+  /// The server for a hedge that can be answered within the target latency;
+  /// nullptr if there is none or the attempt in flight is not overdue.
+  ServerState* ChooseEarlyHedge(SteeredRequest& request, TimePoint now);
   void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
   /// Time until the first server that may serve the request accepts requests
   /// again; zero if one does now or none will.
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -135,6 +135,11 @@
   const uint32_t failures = server.FailuresInRow();
   const ServerNotices notices = server.Notices();
   server.CountEnd(report, now);
+  if (report.m_load) {
+    Service(server.Entry().m_service)
+        .Hedges()
+        .NoteReported(report.m_load->m_work_percent, now);
+  }
   const std::string& instance = server.Entry().m_instance;
   if (IsListed(server)) {
     RegionServers& list =
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -135,9 +135,10 @@
     if (it != m_servers_by_hash.end()) {
       ServerState& server = *it->second;
       server.ApplyLoadReport(load.m_load, load.m_age, now);
-      Service(server.Entry().m_service)
-          .RegionServersOf(server)
-          .NoteLoadReport(&server);
+      SteeredService& service = Service(server.Entry().m_service);
+      service.RegionServersOf(server).NoteLoadReport(&server);
+      service.Hedges().NoteReported(load.m_load.m_work_percent,
+                                    now - load.m_age);
     }
   }
 }
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -106,18 +106,7 @@
   if (request.m_is_retry_charged) {
     return true;
   }
-  if (request.m_started_sends >= request.m_route->m_max_sends ||
-      request.m_tried.size() >= kMaxTriedServers) {
-    return false;
-  }
-  if (request.m_may_have_run && !request.m_route->m_idempotent) {
-    return false;
-  }
-  if (request.m_lost_sends > 0 && IsRetryForbidden(request, now)) {
-    return false;
-  }
-  const Duration usual = Service(request.m_service).Usual().m_latency;
-  if (request.m_deadline - now < std::max(kMinRetryTime, usual / 2)) {
+  if (!HasRetryLeft(request, now)) {
     return false;
   }
   if (request.m_started_sends == 0) {
@@ -127,16 +116,48 @@
     // and all requests for its servers were refused.
     return true;
   }
-  const double vms =
-      std::max<double>(1, static_cast<double>(m_picker.Fleet().size()));
   request.m_is_retry_charged =
       Service(request.m_service)
           .Retries()
           .TrySpend(m_settings.m_retry_ratio * kRetryRatioFraction,
-                    m_settings.m_retry_extra * kRetryExtraFraction / vms, now);
+                    RetryExtra(), now);
+  return request.m_is_retry_charged;
+}
+
+bool Steering::MayHedge(SteeredRequest& request, TimePoint now) {
+  if (request.m_is_retry_charged) {
+    return true;
+  }
+  request.m_is_retry_charged =
+      HasRetryLeft(request, now) &&
+      Service(request.m_service)
+          .Retries()
+          .TrySpendHedge(m_settings.m_retry_ratio * kRetryRatioFraction,
+                         RetryExtra(), now);
   return request.m_is_retry_charged;
 }
 
+bool Steering::HasRetryLeft(const SteeredRequest& request, TimePoint now) {
+  if (request.m_started_sends >= request.m_route->m_max_sends ||
+      request.m_tried.size() >= kMaxTriedServers) {
+    return false;
+  }
+  if (request.m_may_have_run && !request.m_route->m_idempotent) {
+    return false;
+  }
+  if (request.m_lost_sends > 0 && IsRetryForbidden(request, now)) {
+    return false;
+  }
+  const Duration usual = Service(request.m_service).Usual().m_latency;
+  return request.m_deadline - now >= std::max(kMinRetryTime, usual / 2);
+}
+
+double Steering::RetryExtra() const {
+  const double vms =
+      std::max<double>(1, static_cast<double>(m_picker.Fleet().size()));
+  return m_settings.m_retry_extra * kRetryExtraFraction / vms;
+}
+
 bool Steering::TrySend(SteeredRequest& request,
                        ServerState* server,
                        TimePoint now) {
@@ -169,12 +190,20 @@
   }
   server->MarkWarmFor(request.m_facts.m_object, now);
   request.m_is_retry_charged = false;
+  const ServiceBaseline usual =
+      Service(request.m_service).UsualIn(server->Region());
+  const double occupancy = server->Occupancy(now, usual);
+  const double rounds = std::max(0.0, occupancy / entry.m_slots - 1);
+  const bool is_hedge = !request.m_live_attempts.empty();
   request.m_live_attempts.push_back(
-      {attempt, m_servers.at(entry.m_instance), now});
+      {.m_attempt = attempt,
+       .m_server = m_servers.at(entry.m_instance),
+       .m_sent = now,
+       .m_queue_met =
+           std::chrono::duration_cast<Duration>(usual.m_slot_time * rounds),
+       .m_is_hedge = is_hedge});
   request.m_tried.push_back(entry.m_instance);
   ++request.m_started_sends;
-  const ServiceBaseline usual =
-      Service(request.m_service).UsualIn(server->Region());
   const size_t max_idle_connections = MaxIdleConnections(
       RulesOf(entry.m_service).m_max_connections, m_picker.Fleet().size());
   m_sink(
@@ -184,12 +213,13 @@
                    .m_address = entry.m_address,
                    .m_time_left = request.m_deadline - now,
                    .m_idempotent = request.m_route->m_idempotent,
+                   .m_is_hedge = is_hedge,
                    .m_organisation = NameOf(request.m_organisation),
                    .m_strips_key = request.m_table->m_organisations.has_value(),
                    .m_max_idle_connections = max_idle_connections,
                    .m_service = request.m_service,
                    .m_region = m_regions[server->Region()],
-                   .m_occupancy = server->Occupancy(now, usual),
+                   .m_occupancy = occupancy,
                    .m_waited = now - request.m_arrived,
                    .m_passed_over = request.m_passed_over,
                    .m_table_version = request.m_table->m_version});
@@ -211,6 +241,7 @@
     return;
   }
   const std::shared_ptr<ServerState> server = live->m_server;
+  const bool is_hedge = live->m_is_hedge;
   CountEnd(*server, report, now);
   if (report.m_end == AttemptEnd::kWrongInstance) {
     server->MarkGone();
@@ -231,8 +262,9 @@
   }
   if (report.m_end == AttemptEnd::kAnswered) {
     ClearSuspicion(request.m_facts.m_digest, now);
+    const bool is_first = !request.m_live_attempts.empty();
     CancelLiveAttempts(request, false, now);
-    m_sink(ForwardServerAnswer{id, attempt});
+    m_sink(ForwardServerAnswer{id, attempt, is_hedge && is_first});
     RemoveRequest(id);
   } else {
     request.m_may_have_run |= !ProvesNotRun(report.m_end);
@@ -334,7 +366,18 @@
       IsSuspect(request, now)) {
     return;
   }
-  const Duration usual = Service(request.m_service).Usual().m_latency;
+  SteeredService& service = Service(request.m_service);
+  const bool is_active = service.Hedges().IsActive(now);
+  if (is_active) {
+    ServerState* const early = ChooseEarlyHedge(request, now);
+    if (early != nullptr) {
+      if (MayHedge(request, now)) {
+        TrySend(request, early, now);
+      }
+      return;
+    }
+  }
+  const Duration usual = service.Usual().m_latency;
   const Duration hedge_delay =
       std::max(kHedgeLatencyFactor * usual, request.m_route->m_target_latency);
   if (usual == Duration::zero() ||
@@ -343,9 +386,47 @@
   }
   ServerState* const server = Choose(request, now).m_fastest_free;
   // A hedge is not worth a token that another request could be sent with.
-  if (server != nullptr && !server->Notices().MaxPerSecond()) {
+  if (server == nullptr || server->Notices().MaxPerSecond()) {
+    return;
+  }
+  if (!is_active || MayHedge(request, now)) {
     TrySend(request, server, now);
   }
 }
 
+ServerState* Steering::ChooseEarlyHedge(SteeredRequest& request,
+                                        TimePoint now) {
+  SteeredService& service = Service(request.m_service);
+  const LiveAttempt& attempt = request.m_live_attempts.front();
+  const AttemptProgress progress{
+      .m_time_since_sent = now - attempt.m_sent,
+      .m_queue_met = attempt.m_queue_met,
+      .m_usual = service.Hedges().Usual(attempt.m_server->Region())};
+  const Duration time_to_target =
+      request.m_arrived + request.m_route->m_target_latency - now;
+  if (time_to_target <= Duration::zero() || !HedgePolicy::IsOverdue(progress)) {
+    return nullptr;
+  }
+  ServerState* const server = Choose(request, now).m_fastest_free;
+  PickCriteria criteria;
+  RegionServers* const servers = Candidates(request, criteria);
+  if (server == nullptr || servers == nullptr) {
+    return nullptr;
+  }
+  const size_t region = server->Region();
+  const HedgeCandidate candidate{
+      .m_has_free_slot = server->Waiting() == 0 &&
+                         server->Occupancy(now, criteria.m_usual) + 1 <=
+                             server->Entry().m_slots,
+      .m_is_cached = m_picker.HasObjectCached(*servers, *server, criteria, now),
+      .m_is_rate_limited =
+          server->Notices().MaxPerSecond() ||
+          m_picker.RateLimit(*server, RulesOf(request.m_service), now),
+      .m_work_factor = server->WorkFactor(now),
+      .m_usual = service.Hedges().Usual(region),
+      .m_region_utilisation = service.Shares().Load(region)};
+  return HedgePolicy::IsWorthwhile(candidate, time_to_target) ? server
+                                                              : nullptr;
+}
+
 }  // namespace sorrelplank
