--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -39,6 +39,11 @@
                     .Help("Requests sent, by service and region of the server")
                     .Labels(m_labels)
                     .Register(m_registry)),
+        m_hedges(prom::BuildCounter()
+                     .Name("sorrelplank_hedges_total")
+                     .Help("Second attempts beside one in flight, by event")
+                     .Labels(m_labels)
+                     .Register(m_registry)),
         m_gauges(prom::BuildGauge()
                      .Name("sorrelplank_state")
                      .Help("Present values, by name")
@@ -65,6 +70,7 @@
   prom::Family<prom::Histogram>& m_answers;
   prom::Family<prom::Histogram>& m_attempts;
   prom::Family<prom::Counter>& m_sends;
+  prom::Family<prom::Counter>& m_hedges;
   prom::Family<prom::Gauge>& m_gauges;
   prom::Family<prom::Gauge>& m_store_calls;
 };
@@ -84,6 +90,10 @@
   m_impl->m_sends.Add({{"service", service}, {"region", region}}).Increment();
 }
 
+void ProxyMetrics::CountHedge(const char* event) {
+  m_impl->m_hedges.Add({{"event", event}}).Increment();
+}
+
 void ProxyMetrics::CountAttempt(const char* end, Duration time) {
   m_impl->m_attempts.Add({{"end", end}}, kLatencyBuckets)
       .Observe(ToMilliseconds(time) / 1000);
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -64,6 +64,9 @@
   void CountResponse(const std::string& outcome, Duration time);
   /// Counts a request sent to a backend server of the region.
   void CountSend(const std::string& service, const std::string& region);
+  /// Counts an event of a hedge: "sent", or "answered_first" if its response
+  /// came before that of the first attempt.
+  void CountHedge(const char* event);
   /// Records the end of one send and its duration.
   void CountAttempt(const char* end, Duration time);
 
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -209,9 +209,13 @@
                {"under_way_there", action.m_occupancy},
                {"waited_ms", LogMs(action.m_waited)},
                {"passed_over", int64_t{action.m_passed_over}},
+               {"hedge", int64_t{action.m_is_hedge ? 1 : 0}},
                {"time_left_ms", LogMs(action.m_time_left)},
                {"config", static_cast<int64_t>(action.m_table_version)}});
   m_metrics.CountSend(action.m_service, action.m_region);
+  if (action.m_is_hedge) {
+    m_metrics.CountHedge("sent");
+  }
   ServerRequest send;
   send.m_bytes = SerializeRequest(open, action);
   send.m_request_id = open.m_id;
@@ -262,6 +266,9 @@
 }
 
 void RequestProxy::Handle(const ForwardServerAnswer& action) {
+  if (action.m_is_hedge) {
+    m_metrics.CountHedge("answered_first");
+  }
   HttpResponse answer =
       std::move(m_open_requests.at(action.m_request).m_server_response);
   std::erase_if(answer.m_headers, [this](const auto& field) {
