--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -46,6 +46,11 @@
                       "one, which was expected to answer later")
                 .Labels(m_labels)
                 .Register(m_registry)),
+        m_hedges(prom::BuildCounter()
+                     .Name("sorrelplank_hedges_total")
+                     .Help("Second attempts beside one in flight, by event")
+                     .Labels(m_labels)
+                     .Register(m_registry)),
         m_gauges(prom::BuildGauge()
                      .Name("sorrelplank_state")
                      .Help("Present values, by name")
@@ -73,6 +78,7 @@
   prom::Family<prom::Histogram>& m_attempts;
   prom::Family<prom::Counter>& m_sends;
   prom::Family<prom::Counter>& m_second_choices;
+  prom::Family<prom::Counter>& m_hedges;
   prom::Family<prom::Gauge>& m_gauges;
   prom::Family<prom::Gauge>& m_store_calls;
 };
@@ -96,6 +102,10 @@
   m_impl->m_second_choices.Add({{"service", service}}).Increment();
 }
 
+void ProxyMetrics::CountHedge(const char* event) {
+  m_impl->m_hedges.Add({{"event", event}}).Increment();
+}
+
 void ProxyMetrics::CountAttempt(const char* end, Duration time) {
   m_impl->m_attempts.Add({{"end", end}}, kLatencyBuckets)
       .Observe(ToMilliseconds(time) / 1000);
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -66,6 +66,9 @@
   void CountSend(const std::string& service, const std::string& region);
   /// Counts a request sent to another server than the first of its object.
   void CountSecondChoice(const std::string& service);
+  /// Counts an event of a hedge: "sent", or "answered_first" if its response
+  /// came before that of the first attempt.
+  void CountHedge(const char* event);
   /// Records the end of one send and its duration.
   void CountAttempt(const char* end, Duration time);
 
--- a/src/steer/replica_choice.cc
+++ b/src/steer/replica_choice.cc
@@ -43,12 +43,24 @@
 }  // namespace
 
 ReplicaChoice::ReplicaChoice(bool has_object_affinity, bool is_uneven)
-    : m_assumed_cached(AssumedCached(has_object_affinity, is_uneven)) {}
+    : m_has_object_affinity(has_object_affinity),
+      m_assumed_cached(AssumedCached(has_object_affinity, is_uneven)) {}
 
 ReplicaRank ReplicaChoice::Add(const ReplicaCandidate& candidate) {
   ReplicaRank rank;
   rank.m_is_cached = m_count < m_assumed_cached || candidate.m_was_sent_object;
-  const double time = ExpectedTime(candidate, rank.m_is_cached);
+  double time = ExpectedTime(candidate, rank.m_is_cached);
+  if (m_count == 0) {
+    m_first_work_factor = candidate.m_work_factor;
+  } else if (m_count == 1 && m_has_object_affinity && rank.m_is_cached) {
+    // Work without the object cached takes longer than on a slowed machine. The
+    // requests ahead run on the same machine, so the wait scales as well.
+    time *= candidate.m_work_factor;
+    m_fastest_time = *m_fastest_time * m_first_work_factor;
+    if (m_fastest_free_time) {
+      m_fastest_free_time = *m_fastest_free_time * m_first_work_factor;
+    }
+  }
   ++m_count;
   rank.m_is_fastest = UpdateFastest(m_fastest_time, time);
   const bool has_room = candidate.m_occupancy + 1 <= candidate.m_limit;
@@ -62,8 +74,7 @@
       candidate.m_occupancy + candidate.m_waiting + 1 - candidate.m_limit;
   const double wait = std::max(0.0, surplus) / std::max(1.0, candidate.m_limit);
   const double work = is_cached ? 1 : ServerState::kCacheMissFactor;
-  // The requests ahead run on the same machine, so the wait scales as well.
-  return candidate.m_work_factor * (wait + work);
+  return wait + work;
 }
 
 }  // namespace sorrelplank
--- a/src/steer/replica_choice.h
+++ b/src/steer/replica_choice.h
@@ -18,7 +18,8 @@
   double m_limit = 0;
   /// Whether this VM sent the server a request for the object recently.
   bool m_was_sent_object = false;
-  /// Current duration of work on the server's machine, relative to the usual.
+  /// Current duration of work on the server's machine, relative to the usual;
+  /// counts only between two servers that have the object cached.
   double m_work_factor = 1;
 };
 
@@ -68,10 +69,12 @@
   /// Expected time until the response, in usual latencies.
   static double ExpectedTime(const ReplicaCandidate& candidate, bool is_cached);
 
+  bool m_has_object_affinity;
   /// Number of candidates, from the first, that count as having the object
   /// cached.
   size_t m_assumed_cached;
   size_t m_count = 0;
+  double m_first_work_factor = 1;
   std::optional<double> m_fastest_time;
   std::optional<double> m_fastest_free_time;
 };
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -64,7 +64,8 @@
           .m_waiting = counts_waiting ? server.Waiting() : 0.0,
           .m_limit = server.OccupancyLimit(now, criteria.m_usual),
           .m_was_sent_object = criteria.m_has_object_affinity &&
-                               server.IsWarmFor(criteria.m_object, now)};
+                               server.IsWarmFor(criteria.m_object, now),
+          .m_work_factor = server.WorkFactor(now)};
 }
 
 }  // namespace
@@ -238,6 +239,24 @@
   return best;
 }
 
+bool ServerPicker::HasObjectCached(RegionServers& servers,
+                                   const ServerState& server,
+                                   const PickCriteria& criteria,
+                                   TimePoint now) const {
+  if (!criteria.m_has_object_affinity ||
+      server.IsWarmFor(criteria.m_object, now)) {
+    return true;
+  }
+  Ranked ranked = servers.TopServers(criteria.m_object);
+  std::erase_if(ranked, [&](const ServerState* other) {
+    return !IsUsable(*other) || ShouldAvoid(*other, criteria, now);
+  });
+  ranked.resize(std::min<size_t>(
+      ranked.size(),
+      criteria.m_usual.m_is_uneven ? ReplicaChoice::kServersPerObject : 1));
+  return std::find(ranked.begin(), ranked.end(), &server) != ranked.end();
+}
+
 std::optional<uint32_t> ServerPicker::RateLimit(const ServerState& server,
                                                 const ServiceRules& rules,
                                                 TimePoint now) const {
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -40,6 +40,7 @@
       m_by_region(regions),
       m_shares(regions, own),
       m_retries(retry_window),
+      m_hedges(regions),
       m_region_latencies(regions),
       m_uneven_capacity_ratio(uneven_capacity_ratio) {}
 
@@ -88,6 +89,8 @@
     m_work[route].Add(std::max<Duration>(
         in_slot - m_region_latencies.ExtraNetworkTime(server.Region()),
         Duration::zero()));
+    m_hedges.AddAnswer(server.Region(), in_slot,
+                       report.m_load.value_or(ReportedLoad()).m_work_percent);
   }
 }
 
