Tell when the client has been sent a response, and keep one body less

Cause: whoever builds a response cannot know how long it stays in memory for a client that reads slowly. RESTinio's copy of a request, with its body, was kept until the response although nothing reads it.

Change: HttpResponse::m_until_written is destroyed when the response has been written or the connection is closed. The HTTP server keeps the builder of the response instead of RESTinio's request.

--- a/src/net/http_message_type.h
+++ b/src/net/http_message_type.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -46,6 +47,8 @@
   std::string m_body;
   /// Close the connection after the response.
   bool m_close = false;
+  /// Destroyed when the response has been written, or cannot be any more.
+  std::shared_ptr<void> m_until_written = nullptr;
 };
 
 /// Sends the response to one request. Must be called once, on the io thread.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -67,12 +67,15 @@
   return request;
 }
 
+using ResponseBuilder =
+    rest::response_builder_t<rest::restinio_controlled_output_t>;
+
 /// Sends a response; after_write runs when all bytes were written or the
 /// connection was closed.
-void Send(const rest::request_handle_t& to,
+void Send(ResponseBuilder& builder,
           HttpResponse response,
           std::function<void()> after_write) {
-  auto builder = to->create_response(rest::http_status_line_t{
+  builder.header().status_line(rest::http_status_line_t{
       rest::http_status_code_t{static_cast<uint16_t>(response.m_status)},
       response.m_status < 300 ? "OK" : "Refused"});
   if (!response.m_content_type.empty()) {
@@ -169,18 +172,28 @@
       refusal.m_status = 413;
       refusal.m_body = R"({"error":"body_too_large","limit_bytes":)" +
                        std::to_string(limits.m_max_body_bytes) + "}";
-      Answer(from, std::move(refusal));
+      auto builder = from->create_response();
+      Answer(builder, std::move(refusal));
       return;
     }
-    m_handler(ToRequest(*from), [this, from](HttpResponse response) {
-      Answer(from, std::move(response));
+    // Only the builder is kept for the response, not RESTinio's request, which
+    // holds a second copy of the body.
+    const auto builder =
+        std::make_shared<ResponseBuilder>(from->create_response());
+    m_handler(ToRequest(*from), [this, builder](HttpResponse response) {
+      Answer(*builder, std::move(response));
     });
   }
 
-  void Answer(const rest::request_handle_t& to, HttpResponse response) {
+  void Answer(ResponseBuilder& builder, HttpResponse response) {
     ++*m_unwritten_responses;
-    Send(to, std::move(response),
-         [unwritten = m_unwritten_responses] { --*unwritten; });
+    auto until_written = std::move(response.m_until_written);
+    Send(builder, std::move(response),
+         [unwritten = m_unwritten_responses,
+          until_written = std::move(until_written)]() mutable {
+           --*unwritten;
+           until_written.reset();
+         });
   }
 
   Handler m_handler;
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -21,16 +21,21 @@
 /// A server that responds to every request with a long body, and a client.
 struct HttpServerFixture {
   asio::io_context m_io{1};
+  /// Expires with the response's m_until_written.
+  std::weak_ptr<void> m_held;
   uint16_t m_port = FreePort();
   HttpServer m_server{m_io,
                       "127.0.0.1",
                       m_port,
                       {},
-                      [](const HttpRequest&, const HttpReply& reply) {
+                      [this](const HttpRequest&, const HttpReply& reply) {
                         HttpResponse response;
                         response.m_status = 200;
                         response.m_body.assign(kLongBodyBytes, 'x');
                         response.m_close = true;
+                        const auto held = std::make_shared<int>(0);
+                        m_held = held;
+                        response.m_until_written = held;
                         reply(std::move(response));
                       }};
   asio::ip::tcp::socket m_client{m_io};
@@ -95,6 +100,24 @@
   cr_assert_eq(g_fixture->m_server.UnwrittenResponses(), 0);
 }
 
+// Guards against releasing the memory budget of a response that a slow client
+// has not read yet, and against keeping that of a client that has left.
+Test(HttpServer, LongResponse_HeldMemory_IsReleasedWithTheResponse) {
+  g_fixture->SendRequest();
+  g_fixture->RunUntilIdle();
+  cr_assert_not(g_fixture->m_held.expired());
+  g_fixture->ReadAll();
+  g_fixture->RunUntilIdle();
+  cr_assert(g_fixture->m_held.expired());
+  g_fixture->m_client.close();
+  g_fixture->SendRequest();
+  g_fixture->RunUntilIdle();
+  cr_assert_not(g_fixture->m_held.expired());
+  g_fixture->m_client.close();
+  g_fixture->RunUntilIdle();
+  cr_assert(g_fixture->m_held.expired());
+}
+
 // A VM without a routing table closes its port, and reopens it when it has one.
 // Clients that were refused can then connect again.
 Test(HttpServer, Stopped_Reopened_RespondsAgain) {
