Test that uploads are treated as non-idempotent

Cause: uploads change data and were covered only as an unknown kind.

Change: a test, no change of the code.

Result: PlatformDecode, Config_UploadRoute_MayNotRunAgain passes.

--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -297,5 +297,13 @@
   cr_assert(DecodeConfig(config.dump()).m_routes[0].m_idempotent);
 }
 
+// Guards against running an upload twice: it changes data like any
+// non-idempotent request.
+Test(PlatformDecode, Config_UploadRoute_MayNotRunAgain) {
+  json config = json::parse(kConfig);
+  config["Routes"]["Rows"][0][3] = "upload";
+  cr_assert_not(DecodeConfig(config.dump()).m_routes[0].m_idempotent);
+}
+
 }  // namespace
 }  // namespace sorrelplank::platform
