Bound the memory of open requests and their responses

Cause: requests and responses are buffered whole, with no bound over all of them. Hundreds of bodies at the limit, or clients that read slowly, exceed the memory of the smallest VM, and its process is killed with all open requests.

Change: BodyBudget (new) counts the bytes of open requests and of responses until they are written to the client, by move-only reservations. Responses always count and are never dropped. The serialised request is freed when it has been written to the server, instead of with the connection's next one.

--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -97,6 +97,8 @@
   m_impl->Set("store_age_seconds", gauges.m_store_age_s);
   m_impl->Set("connections_opened", gauges.m_connections_opened);
   m_impl->Set("log_lines_dropped", gauges.m_log_lines_dropped);
+  m_impl->Set("body_bytes", gauges.m_body_bytes);
+  m_impl->Set("body_bytes_bound", gauges.m_body_bytes_bound);
   for (const auto& [kind, calls] : gauges.m_store_calls) {
     m_impl->m_store_calls.Add({{"kind", kind}}).Set(calls);
   }
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -27,6 +27,10 @@
   double m_store_age_s = 0;
   double m_connections_opened = 0;
   double m_log_lines_dropped = 0;
+  /// Bytes held for open requests and unwritten responses, and their bound; a
+  /// bound of zero means none.
+  double m_body_bytes = 0;
+  double m_body_bytes_bound = 0;
   /// Total calls to the store, by kind.
   std::map<std::string, double> m_store_calls;
   /// 1 while this VM watches the store directly, 0 while it uses a relay.
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 #include <utility>
 
 #include "proxy/caller_key_func.h"
@@ -113,13 +114,28 @@
       ComputeRequestDigest(request, m_names, IdentifyCaller(facts));
   m_requests_by_connection.emplace(request.m_connection, facts.m_request);
   OpenRequest open;
+  auto held = m_bodies.Reserve({.m_head_bytes = HeadBytes(request),
+                                .m_body_bytes = request.m_body.size()},
+                               m_open_requests.size());
   open.m_id = *id;
   open.m_digest = facts.m_digest;
   open.m_request = std::move(request);
   open.m_reply = std::move(reply);
   open.m_arrived = SteadyNow();
   const TimePoint now = open.m_arrived;
+  if (held) {
+    open.m_held = std::move(*held);
+  }
   m_open_requests.emplace(facts.m_request, std::move(open));
+  if (!held) {
+    RefuseRequest refusal;
+    refusal.m_request = facts.m_request;
+    refusal.m_reason = SteerRefusal::kNoMemory;
+    refusal.m_retry_after = BodyBudget::RetryAfter(HashOf(*id));
+    refusal.m_table_version = table == nullptr ? 0 : table->m_version;
+    Handle(refusal);
+    return;
+  }
   m_steering.Arrived(std::move(facts), now);
 }
 
@@ -218,6 +234,7 @@
   send.m_request_id_name = m_names.m_request_id;
   send.m_is_head = open.m_request.m_method == "HEAD";
   send.m_max_response_bytes = kMaxResponseBytes;
+  send.m_held = m_bodies.ForResponse();
   const SendTarget target{.m_instance = action.m_instance,
                           .m_address = action.m_address,
                           .m_is_idempotent = action.m_idempotent,
@@ -251,6 +268,7 @@
     m_log.Write("answer_field", {{"request", it->second.m_id}, {"name", name}});
   }
   it->second.m_server_response = std::move(reply.m_response);
+  it->second.m_response_held = std::move(reply.m_held);
   m_steering.Ended(request, attempt, report, SteadyNow());
 }
 
@@ -262,8 +280,11 @@
 }
 
 void RequestProxy::Handle(const ForwardServerAnswer& action) {
-  HttpResponse answer =
-      std::move(m_open_requests.at(action.m_request).m_server_response);
+  OpenRequest& open = m_open_requests.at(action.m_request);
+  HttpResponse answer = std::move(open.m_server_response);
+  m_bodies.AddResponse(answer.m_body.size());
+  answer.m_until_written =
+      std::make_shared<BodyReservation>(std::move(open.m_response_held));
   std::erase_if(answer.m_headers, [this](const auto& field) {
     return IsHopByHopField(field.first) || field.first == m_names.m_load ||
            field.first == m_names.m_instance ||
@@ -277,21 +298,24 @@
   const std::string retry_after =
       fmt::format("{:.3f}", ToMilliseconds(action.m_retry_after) / 1000);
   const OpenRequest& open = m_open_requests.at(action.m_request);
-  m_log.Write("refuse",
-              {{"request", open.m_id},
-               {"reason", row.m_name},
-               {"content", FormatDigest(open.m_digest)},
-               {"organisation", action.m_organisation},
-               {"ends", static_cast<int64_t>(action.m_crashes)},
-               {"verdict", VerdictName(row.m_verdict)},
-               {"waited_ms", LogMs(action.m_waited)},
-               {"sends", int64_t{action.m_sends}},
-               {"passed_over", int64_t{action.m_passed_over}},
-               {"line", static_cast<int64_t>(action.m_queue.m_ahead)},
-               {"ends_per_second", action.m_queue.m_completions_per_second},
-               {"usual_ms", LogMs(action.m_queue.m_usual_latency)},
-               {"retry_after_s", retry_after},
-               {"config", static_cast<int64_t>(action.m_table_version)}});
+  m_log.Write(
+      "refuse",
+      {{"request", open.m_id},
+       {"reason", row.m_name},
+       {"content", FormatDigest(open.m_digest)},
+       {"organisation", action.m_organisation},
+       {"ends", static_cast<int64_t>(action.m_crashes)},
+       {"verdict", VerdictName(row.m_verdict)},
+       {"waited_ms", LogMs(action.m_waited)},
+       {"sends", int64_t{action.m_sends}},
+       {"passed_over", int64_t{action.m_passed_over}},
+       {"line", static_cast<int64_t>(action.m_queue.m_ahead)},
+       {"ends_per_second", action.m_queue.m_completions_per_second},
+       {"usual_ms", LogMs(action.m_queue.m_usual_latency)},
+       {"retry_after_s", retry_after},
+       {"body_bytes", static_cast<int64_t>(open.m_request.m_body.size())},
+       {"held_bytes", static_cast<int64_t>(m_bodies.Held())},
+       {"config", static_cast<int64_t>(action.m_table_version)}});
   HttpResponse response;
   response.m_status = row.m_status;
   response.m_headers.emplace_back(m_names.m_request_id, open.m_id);
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -14,6 +14,7 @@
 #include "core/ids_type.h"
 #include "core/request_digest_type.h"
 #include "net/http_message_type.h"
+#include "proxy/body_budget.h"
 #include "proxy/proxy_header_names_type.h"
 #include "proxy/request_digest_func.h"
 #include "proxy/seen_response_fields.h"
@@ -65,6 +66,8 @@
 
   Steering& GetSteering() { return m_steering; }
   ServerPool& Pool() { return m_pool; }
+  /// The bound on the memory of open requests.
+  BodyBudget& Bodies() { return m_bodies; }
 
  private:
   /// A request that has not been answered yet.
@@ -74,8 +77,11 @@
     std::string m_id;
     RequestDigest m_digest;
     TimePoint m_arrived;
+    /// For the request itself.
+    BodyReservation m_held;
     /// Response of the last send that ended.
     HttpResponse m_server_response;
+    BodyReservation m_response_held;
   };
 
   void Dispatch(const SteerAction& action);
@@ -104,6 +110,7 @@
   ProxyHeaderNames m_names;
   DecisionLog& m_log;
   ProxyMetrics& m_metrics;
+  BodyBudget m_bodies;
   ServerPool m_pool;
   Steering m_steering;
   CrashUpdateHandler m_on_crash_update = [](const CrashUpdate&) {};
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -43,8 +43,7 @@
                             ReplyHandler handler) {
   m_request = std::move(send);
   m_handler = std::move(handler);
-  m_response = HttpResponse();
-  m_response.m_content_type.clear();
+  ResetResponse();
   m_is_busy = true;
   m_is_write_done = false;
   m_written = 0;
@@ -101,6 +100,9 @@
                       }
                       self->m_written = bytes;
                       self->m_is_write_done = !error;
+                      // A request is never sent again on a connection; an idle
+                      // one must not keep its body.
+                      self->m_request.m_bytes = std::string();
                       if (error) {
                         self->Finish(
                             bytes == 0 ? ReplyEnd::kNotSent : ReplyEnd::kLost,
@@ -203,14 +205,19 @@
   return m_send_count == 1 && m_parser.status_code >= 300;
 }
 
+void ServerConnection::ResetResponse() {
+  m_response = HttpResponse();
+  m_response.m_content_type.clear();
+  m_request.m_held.Release();
+}
+
 void ServerConnection::OnResponse() {
   m_is_message_complete = false;
   if (!IsResponseToCurrentRequest()) {
     // An interim response, or a late one to an earlier request: the expected
     // one may still follow. After a late response the connection is not reused.
     m_must_close |= m_parser.status_code / 100 != 1;
-    m_response = HttpResponse();
-    m_response.m_content_type.clear();
+    ResetResponse();
     return;
   }
   m_response.m_status = m_parser.status_code;
@@ -246,6 +253,7 @@
   reply.m_problem = problem;
   reply.m_latency = SteadyNow() - m_started;
   reply.m_response = std::move(m_response);
+  reply.m_held = std::move(m_request.m_held);
   reply.m_is_reused_connection = m_send_count > 1;
   m_is_busy = false;
   const ReplyHandler handler = std::exchange(m_handler, nullptr);
@@ -262,6 +270,7 @@
   m_is_closed = true;
   m_is_open = false;
   m_handler = nullptr;
+  ResetResponse();
   m_connect_timer.cancel();
   std::error_code ignored;
   m_socket.close(ignored);
@@ -304,6 +313,7 @@
     return 1;
   }
   body.append(at, length);
+  self->m_request.m_held.Grow(length);
   return 0;
 }
 
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -13,6 +13,7 @@
 
 #include "core/time_type.h"
 #include "core/vm_record_type.h"
+#include "proxy/body_reservation.h"
 #include "proxy/server_reply_type.h"
 
 namespace sorrelplank {
@@ -26,6 +27,8 @@
   std::string m_request_id_name;
   bool m_is_head = false;
   size_t m_max_response_bytes = 0;
+  /// Grows with the response's body.
+  BodyReservation m_held;
 };
 
 /// HTTP/1.1 client connection over Asio, one request at a time.
@@ -66,6 +69,8 @@
   /// A complete response was parsed.
   void OnResponse();
   void Finish(ReplyEnd end, const char* problem);
+  /// Discards what was received of a response.
+  void ResetResponse();
   bool IsResponseToCurrentRequest() const;
   void UpdateKeepAlive();
 
--- a/src/proxy/server_reply_type.h
+++ b/src/proxy/server_reply_type.h
@@ -8,6 +8,7 @@
 
 #include "core/time_type.h"
 #include "net/http_message_type.h"
+#include "proxy/body_reservation.h"
 
 namespace sorrelplank {
 
@@ -27,6 +28,8 @@
   /// Error description for logs; a string literal.
   const char* m_problem = "";
   bool m_is_reused_connection = false;
+  /// For the response's body.
+  BodyReservation m_held;
 };
 
 using ReplyHandler = std::function<void(ServerReply)>;
--- a/src/steer/steer_refusal_type.h
+++ b/src/steer/steer_refusal_type.h
@@ -27,6 +27,7 @@
   kTableMayBeOld,
   kOverQuota,
   kQuotaOutOfReach,
+  kNoMemory,
   kCount,
 };
 
--- a/src/table/steer_refusal_table.h
+++ b/src/table/steer_refusal_table.h
@@ -29,6 +29,7 @@
         {SteerRefusal::kOverQuota, 429, "over_quota", Verdict::kNotRun},
         {SteerRefusal::kQuotaOutOfReach, 503, "quota_out_of_reach",
          Verdict::kNotRun},
+        {SteerRefusal::kNoMemory, 503, "no_memory", Verdict::kNotRun},
     }};
 
 }  // namespace sorrelplank
--- a/tests/request_proxy_test.cc
+++ b/tests/request_proxy_test.cc
@@ -41,6 +41,10 @@
           .m_retry_window = seconds(10)};
 }
 
+/// A response with two of six bytes of its body.
+constexpr const char* kHalfAnswer =
+    "HTTP/1.1 200 X\r\nid: r1\r\nstamp: s\r\ncontent-length: 6\r\n\r\nan";
+
 /// A proxy with one route, and a backend server that accepts one connection and
 /// answers each read with m_answer.
 struct ProxyFixture {
@@ -131,6 +135,24 @@
     m_proxy->GetSteering().Install(table, TimePoint());
   }
 
+  /// Installs a table whose route allows so many sends and bodies so long, and
+  /// whose target does not limit how many requests wait.
+  void InstallRoute(uint32_t max_sends, size_t max_body_bytes) {
+    auto table = std::make_shared<RoutingTable>(*m_table);
+    ++table->m_version;
+    table->m_routes[0].m_max_sends = max_sends;
+    table->m_routes[0].m_timeout = seconds(60);
+    table->m_routes[0].m_target_latency = seconds(60);
+    table->m_limits.m_body_bytes = max_body_bytes;
+    m_proxy->GetSteering().Install(table, TimePoint());
+  }
+
+  void PutServer(const std::string& instance, uint16_t port) {
+    const uint32_t ip = asio::ip::address_v4::loopback().to_uint();
+    m_proxy->GetSteering().PutServer(
+        {instance, "s", {ip, port}, "d1", 4, false, {}}, TimePoint());
+  }
+
   static HttpRequest Request() {
     HttpRequest request;
     request.m_method = "POST";
@@ -154,6 +176,16 @@
     });
   }
 
+  size_t HeldBytes() const { return m_proxy->Bodies().Held(); }
+
+  /// Accepts a request and runs until two bytes of its response have arrived.
+  void AcceptHalf() {
+    m_answer = kHalfAnswer;
+    Accept(Request());
+    const size_t expected = HeldBytes() + 2;
+    RunUntil([&] { return HeldBytes() == expected; });
+  }
+
   template <typename Condition>
   void RunUntil(const Condition& is_done) {
     m_io.restart();
@@ -296,5 +328,78 @@
                    "Retry-After");
 }
 
+// Guards against sending or queueing a request that does not fit into memory.
+Test(RequestProxy, NoMemory_Request_IsRefusedUnsent) {
+  g_fixture->m_proxy->Bodies().SetMemory(20'000);
+  g_fixture->Accept(ProxyFixture::Request());
+  cr_assert_eq(g_fixture->m_reply->m_status, 503);
+  cr_assert_neq(g_fixture->m_reply->m_body.find("no_memory"),
+                std::string::npos);
+  cr_assert_not_null(FindField(g_fixture->m_reply->m_headers, "Retry-After"));
+  cr_assert_eq(g_fixture->m_proxy->Pool().ConnectionsOpened(), 0);
+  cr_assert_eq(g_fixture->m_proxy->GetSteering().Running(), 0);
+  cr_assert_eq(g_fixture->HeldBytes(), 0);
+}
+
+// A response must count until the client has read it, not only until it is
+// passed to the HTTP server.
+Test(RequestProxy, Response_UntilWritten_IsHeld) {
+  g_fixture->m_answer = std::string(kHalfAnswer) + "swer";
+  g_fixture->Accept(ProxyFixture::Request());
+  g_fixture->RunUntil([] { return g_fixture->m_reply.has_value(); });
+  cr_assert_eq(g_fixture->HeldBytes(), 6);
+  g_fixture->m_reply.reset();
+  cr_assert_eq(g_fixture->HeldBytes(), 0);
+}
+
+// A client that leaves during its response must not keep memory reserved.
+Test(RequestProxy, Client_LeavesDuringResponse_ReleasesAll) {
+  g_fixture->AcceptHalf();
+  g_fixture->m_proxy->ClientClosed(9);
+  cr_assert_eq(g_fixture->HeldBytes(), 0);
+}
+
+// A retried request must be counted once, and the truncated response of its
+// first attempt must be released.
+Test(RequestProxy, BrokenConnection_RetriedRequest_ReleasesAll) {
+  g_fixture->InstallRoute(2, 1000);
+  g_fixture->AcceptHalf();
+  // Nothing listens at the second server.
+  g_fixture->PutServer("i-2", 1);
+  g_fixture->m_peer.close();
+  g_fixture->RunUntil([] { return g_fixture->m_reply.has_value(); });
+  cr_assert_geq(g_fixture->m_proxy->Pool().ConnectionsOpened(), 2);
+  cr_assert_eq(g_fixture->m_reply->m_status, 502);
+  cr_assert_eq(g_fixture->HeldBytes(), 0);
+}
+
+// The load on the smallest VM: 300 clients send bodies at the limit, then 20
+// small ones. Guards against holding more than the memory allows, and against
+// refusing the small ones.
+Test(RequestProxy, ManyLargeBodies_SmallestVm_HoldsNoMoreThanTheBound) {
+  BodyBudget& bodies = g_fixture->m_proxy->Bodies();
+  bodies.SetMemory(160'000'000);
+  g_fixture->InstallRoute(1, 1'000'000);
+  std::vector<uint64_t> refused;
+  for (uint64_t client = 1; client <= 320; ++client) {
+    HttpRequest request = ProxyFixture::Request();
+    request.m_connection = client;
+    request.m_headers["deadline"] = "60000";
+    request.m_body.assign(client > 300 ? 1000 : 1'000'000, 'x');
+    g_fixture->m_proxy->Accept(
+        std::move(request), [&](const HttpResponse& response) {
+          cr_expect_neq(response.m_body.find("no_memory"), std::string::npos);
+          refused.push_back(client);
+        });
+  }
+  cr_assert(refused.size() > 200 && refused.size() < 270);
+  cr_assert_leq(refused.back(), 300);
+  cr_assert_leq(bodies.Held(), bodies.Bound());
+  for (uint64_t client = 1; client <= 320; ++client) {
+    g_fixture->m_proxy->ClientClosed(client);
+  }
+  cr_assert_eq(bodies.Held(), 0);
+}
+
 }  // namespace
 }  // namespace sorrelplank
