Read the memory of the VM from the settings

Cause: the bound on the memory of open requests depends on the VM.

Change: memory_mb in the settings file, from the platform's Limits.MemoryMb; absent or null means no bound.

--- a/src/proxy/edge_settings.cc
+++ b/src/proxy/edge_settings.cc
@@ -24,6 +24,9 @@
         m_faults(faults) {}
 
   bool Has(const char* key) const { return Find(key) != nullptr; }
+  bool HasValue(const char* key) const {
+    return Has(key) && !Find(key)->is_null();
+  }
 
   std::string Text(const char* key) const {
     const json* value = Find(key);
@@ -105,6 +108,10 @@
 /// Upper bounds of settings. They are wide and only catch a wrong unit.
 constexpr double kMaxSeconds = 600;
 constexpr double kMaxCount = 1e6;
+constexpr double kMaxMemoryMb = 1e6;
+
+/// The platform's megabytes may be of 2^20 bytes; the smaller unit is safe.
+constexpr double kBytesPerMb = 1e6;
 
 /// These settings are absent in a deployment without quotas.
 QuotaBounds ReadQuotas(const SettingsReader& reader) {
@@ -129,6 +136,15 @@
   return capacity;
 }
 
+/// This setting is absent, or null, if the memory of the VM is unknown.
+size_t ReadMemory(const SettingsReader& reader) {
+  if (!reader.HasValue("memory_mb")) {
+    return 0;
+  }
+  return static_cast<size_t>(reader.Number("memory_mb", 1, kMaxMemoryMb) *
+                             kBytesPerMb);
+}
+
 SteeringSettings ReadSteering(const SettingsReader& reader) {
   return SteeringSettings{
       .m_vm = reader.Text("vm"),
@@ -161,6 +177,7 @@
   EdgeSettings settings{
       .m_steering = ReadSteering(reader),
       .m_capacity = ReadCapacity(reader),
+      .m_memory_bytes = ReadMemory(reader),
       .m_client_address = reader.Address("client_address"),
       .m_ready_address = reader.Address("ready_address"),
       .m_directory_address = reader.Address("directory_address"),
--- a/src/proxy/edge_settings_type.h
+++ b/src/proxy/edge_settings_type.h
@@ -3,6 +3,7 @@
 #ifndef SORRELPLANK_PROXY_EDGE_SETTINGS_TYPE_H_
 #define SORRELPLANK_PROXY_EDGE_SETTINGS_TYPE_H_
 
+#include <cstddef>
 #include <string>
 #include <variant>
 
@@ -18,6 +19,8 @@
 struct EdgeSettings {
   SteeringSettings m_steering;
   VmCapacity m_capacity{};
+  /// Memory of this VM; zero means unknown.
+  size_t m_memory_bytes = 0;
   /// Listening address for client requests.
   VmAddress m_client_address;
   /// Listening address for the platform's readiness checks.
