--- a/src/steer/steer_refusal_type.h
+++ b/src/steer/steer_refusal_type.h
@@ -28,6 +28,7 @@
   kOverQuota,
   kQuotaOutOfReach,
   kCannotFinish,
+  kNoMemory,
   kCount,
 };
 
--- a/src/table/steer_refusal_table.h
+++ b/src/table/steer_refusal_table.h
@@ -30,6 +30,7 @@
         {SteerRefusal::kQuotaOutOfReach, 503, "quota_out_of_reach",
          Verdict::kNotRun},
         {SteerRefusal::kCannotFinish, 503, "cannot_finish", Verdict::kNotRun},
+        {SteerRefusal::kNoMemory, 503, "no_memory", Verdict::kNotRun},
     }};
 
 }  // namespace sorrelplank
