Reserve retries for returning requests in the budget share

Cause: while servers shed, the retries of first calls spend the budget as soon as it grows, and requests that were rejected before find none.

Change: RetryBudgetShare::TrySpendAsFirstCall leaves as much of the budget as returning requests needed within the window, up to half of it. TrySpend is unchanged, so the budget itself holds for both together. Not called yet.

--- a/src/steer/retry_budget_share.cc
+++ b/src/steer/retry_budget_share.cc
@@ -6,30 +6,71 @@
 
 namespace sorrelplank {
 
+namespace {
+
+/// Part of the budget that first calls may always use. A caller returns at most
+/// once, so at most half of the requests are returning ones.
+constexpr double kFirstCallFraction = 0.5;
+
+}  // namespace
+
 // The current bucket is incomplete, so one extra bucket covers the window.
 RetryBudgetShare::RetryBudgetShare(Duration window)
     : m_bucket_length(window / static_cast<int64_t>(kBuckets - 1)) {}
 
 void RetryBudgetShare::CountRequest(TimePoint now) {
   Advance(now);
-  ++m_buckets[static_cast<size_t>(m_bucket_number) % kBuckets].m_requests;
+  ++Current().m_requests;
 }
 
 bool RetryBudgetShare::TrySpend(double ratio, double extra, TimePoint now) {
   Advance(now);
-  uint32_t requests = 0;
-  uint32_t retries = 0;
-  for (const Bucket& bucket : m_buckets) {
-    requests += bucket.m_requests;
-    retries += bucket.m_retries;
+  const Bucket sum = Sum();
+  if (sum.m_retries + 1 > ratio * sum.m_requests + extra) {
+    return false;
   }
-  if (retries + 1 > ratio * requests + extra) {
+  ++Current().m_retries;
+  return true;
+}
+
+void RetryBudgetShare::CountReturningNeed(TimePoint now) {
+  Advance(now);
+  ++Current().m_returning_needs;
+}
+
+bool RetryBudgetShare::TrySpendAsFirstCall(double ratio,
+                                           double extra,
+                                           TimePoint now) {
+  Advance(now);
+  const Bucket sum = Sum();
+  const double budget = ratio * sum.m_requests + extra;
+  // One more than was needed, for the returning request that comes next.
+  const double needed =
+      sum.m_returning_needs > 0 ? sum.m_returning_needs + 1 : 0;
+  const double reserve = std::min(needed, (1 - kFirstCallFraction) * budget);
+  if (sum.m_first_call_retries + 1 > budget - reserve ||
+      !TrySpend(ratio, extra, now)) {
     return false;
   }
-  ++m_buckets[static_cast<size_t>(m_bucket_number) % kBuckets].m_retries;
+  ++Current().m_first_call_retries;
   return true;
 }
 
+RetryBudgetShare::Bucket& RetryBudgetShare::Current() {
+  return m_buckets[static_cast<size_t>(m_bucket_number) % kBuckets];
+}
+
+RetryBudgetShare::Bucket RetryBudgetShare::Sum() const {
+  Bucket sum;
+  for (const Bucket& bucket : m_buckets) {
+    sum.m_requests += bucket.m_requests;
+    sum.m_retries += bucket.m_retries;
+    sum.m_first_call_retries += bucket.m_first_call_retries;
+    sum.m_returning_needs += bucket.m_returning_needs;
+  }
+  return sum;
+}
+
 void RetryBudgetShare::Advance(TimePoint now) {
   const int64_t bucket = now.time_since_epoch() / m_bucket_length;
   if (bucket - m_bucket_number >= static_cast<int64_t>(kBuckets)) {
--- a/src/steer/retry_budget_share.h
+++ b/src/steer/retry_budget_share.h
@@ -26,6 +26,17 @@
   /// Counts a retry if the budget allows it; to be called before sending.
   bool TrySpend(double ratio, double extra, TimePoint now);
 
+  /// Counts a returning request that needs a retry, whether it gets one or not.
+  void CountReturningNeed(TimePoint now);
+
+  /// As TrySpend(), for a first call: leaves as much of the budget as returning
+  /// requests needed within the window, up to a fixed part.
+  ///
+  /// Load pattern: servers shed half of all requests, and the retries of first
+  /// calls spend the budget as soon as it grows. Returning requests then find
+  /// none, and are rejected for good.
+  bool TrySpendAsFirstCall(double ratio, double extra, TimePoint now);
+
  private:
   static constexpr size_t kBuckets = 20;
 
@@ -33,8 +44,13 @@
   struct Bucket {
     uint32_t m_requests = 0;
     uint32_t m_retries = 0;
+    /// Part of the retries that TrySpendAsFirstCall() counted.
+    uint32_t m_first_call_retries = 0;
+    uint32_t m_returning_needs = 0;
   };
 
+  Bucket& Current();
+  Bucket Sum() const;
   void Advance(TimePoint now);
 
   Duration m_bucket_length;
--- a/tests/retry_budget_share_test.cc
+++ b/tests/retry_budget_share_test.cc
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include <utility>
+
 namespace sorrelplank {
 namespace {
 
@@ -48,5 +50,47 @@
   cr_assert_geq(spent, 3000 / 6);
 }
 
+/// Ten seconds in which each request, of which one in `returning` returns,
+/// needs two retries. Returns the retries of first calls and of returning
+/// requests.
+std::pair<int, int> SpendAll(RetryBudgetShare& budget,
+                             int returning,
+                             TimePoint start) {
+  std::pair<int, int> spent;
+  for (int step = 0; step < 1000; ++step) {
+    const TimePoint now = start + milliseconds(10) * step;
+    const bool returns = returning > 0 && step % returning == 0;
+    budget.CountRequest(now);
+    if (returns) {
+      budget.CountReturningNeed(now);
+      spent.second += budget.TrySpend(0.2, 0, now) ? 1 : 0;
+    }
+    spent.first += budget.TrySpendAsFirstCall(0.2, 0, now) ? 1 : 0;
+  }
+  return spent;
+}
+
+// Guards against first calls spending what returning requests need, and
+// against the two together exceeding the budget.
+Test(RetryBudgetShare, ManyReturn_FirstCallsLeaveHalf_WithinTheBudget) {
+  RetryBudgetShare budget(kWindow);
+  SpendAll(budget, 0, TimePoint(seconds(100)));
+  SpendAll(budget, 3, TimePoint(seconds(110)));
+  const auto [first, returning] = SpendAll(budget, 3, TimePoint(seconds(120)));
+  cr_assert(returning >= 85 && first >= 75);
+  cr_assert_leq(first + returning, 210);
+}
+
+// Guards against a reserve that nobody uses.
+Test(RetryBudgetShare, FewReturn_FirstCallsUseTheRest) {
+  RetryBudgetShare budget(kWindow);
+  SpendAll(budget, 3, TimePoint(seconds(100)));
+  SpendAll(budget, 100, TimePoint(seconds(110)));
+  const auto [first, returning] =
+      SpendAll(budget, 100, TimePoint(seconds(120)));
+  cr_assert_geq(returning, 9);
+  cr_assert_geq(first, 170);
+}
+
 }  // namespace
 }  // namespace sorrelplank
