--- a/src/steer/admission.cc
+++ b/src/steer/admission.cc
@@ -14,19 +14,18 @@
 /// latency alone exceeds the target. The response is late anyway, and a longer
 /// wait would displace requests that can still meet their target.
 constexpr double kLateWaitFraction = 0.5;
-/// Shortest retry time: about the time until a slot becomes free.
-constexpr Duration kMinRetryAfter = milliseconds(150);
-/// Longest retry time: about as long as such an overload lasts.
-constexpr Duration kMaxRetryAfter = milliseconds(1500);
 
 }  // namespace
 
-Duration ExpectedWait(const QueueState& queue) {
+Duration DrainTime(const QueueState& queue, size_t requests) {
   const double rate =
       std::max(kMinCompletionsPerSecond, queue.m_completions_per_second);
-  const double wait_s = static_cast<double>(queue.m_ahead + 1) / rate;
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(wait_s));
+      std::chrono::duration<double>(static_cast<double>(requests) / rate));
+}
+
+Duration ExpectedWait(const QueueState& queue) {
+  return DrainTime(queue, queue.m_ahead + 1);
 }
 
 bool MayWait(const QueueState& queue, const WaitBudget& budget) {
--- a/src/steer/admission.h
+++ b/src/steer/admission.h
@@ -10,6 +10,12 @@
 
 namespace sorrelplank {
 
+/// Shortest time after which a client may retry: about the time until a slot
+/// becomes free.
+inline constexpr Duration kMinRetryAfter = milliseconds(150);
+/// Longest retry time: about as long as such an overload lasts.
+inline constexpr Duration kMaxRetryAfter = milliseconds(1500);
+
 /// This entry VM's queue of requests for one backend server.
 struct QueueState {
   /// Number of requests that would be served before the new one.
@@ -29,6 +35,9 @@
   Duration m_time_to_deadline{};
 };
 
+/// Time in which the queue's server completes the given number of requests.
+Duration DrainTime(const QueueState& queue, size_t requests);
+
 /// Expected queueing time of a new request.
 Duration ExpectedWait(const QueueState& queue);
 
--- /dev/null
+++ b/src/steer/return_schedule.cc
@@ -0,0 +1,44 @@
+/// @file return_schedule.cc Return times at the pace of a server's queue.
+
+#include "steer/return_schedule.h"
+
+#include <algorithm>
+
+#include "steer/admission.h"
+
+namespace sorrelplank {
+
+namespace {
+
+/// Steps into which a slot's time is divided; a power of two keeps the seeds of
+/// successive requests apart.
+constexpr uint64_t kStepsPerSlot = 32;
+
+}  // namespace
+
+Duration ReturnSchedule::Next(const QueueState& queue,
+                              Duration in_time,
+                              uint64_t seed,
+                              TimePoint now) {
+  const Duration slot = DrainTime(queue, 1);
+  const Duration offset = slot * (seed % kStepsPerSlot) / kStepsPerSlot;
+  const TimePoint first =
+      now + std::clamp(ExpectedWait(queue), kMinRetryAfter, kMaxRetryAfter);
+  // Less one slot's time, within which the caller is placed.
+  const TimePoint late = std::max(first, now + in_time - slot);
+  // A returning request that can meet its target goes ahead of the queue.
+  const TimePoint next = std::max(now + kMinRetryAfter, m_last_in_time + slot);
+  if (next < now + in_time - slot) {
+    m_last_in_time = next;
+    return std::min(next - now + offset, kMaxRetryAfter);
+  }
+  m_last_late = std::max(late, m_last_late + slot);
+  if (m_last_late - now > kMaxRetryAfter) {
+    // More callers than slots until the latest allowed time. Starting over
+    // spreads them evenly; at the limit they would return together.
+    m_last_late = late;
+  }
+  return std::min(m_last_late - now + offset, kMaxRetryAfter);
+}
+
+}  // namespace sorrelplank
