Serve returning requests first in uneven services

Cause: a second rejection is final for a caller, but a request that returns waited behind first calls, found the retry budget spent by them, and returned together with all others that were rejected with it.

Change, in services whose slots are spread unevenly: within a priority the queue is ordered by returning, target still possible, arrival. Requests that a new one goes ahead of do not count as its queue, an overtaken first call that can no longer wait is rejected at once, and waiting requests are served before a new or retried one takes a free slot. First calls leave retries to returning requests. Retry-After follows the pace of the server's queue; where servers shed with free slots it is the shortest time.

--- a/src/steer/server_state.h
+++ b/src/steer/server_state.h
@@ -12,6 +12,7 @@
 #include "steer/attempt_report_type.h"
 #include "steer/peer_load_estimate.h"
 #include "steer/quantile_estimator.h"
+#include "steer/return_schedule.h"
 #include "steer/server_entry_type.h"
 #include "steer/server_load_type.h"
 #include "steer/server_notices.h"
@@ -96,6 +97,8 @@
   uint32_t Waiting() const { return m_waiting; }
   void AddWaiting() { ++m_waiting; }
   void RemoveWaiting() { --m_waiting; }
+  /// When the callers that this VM rejects for want of its slots return.
+  ReturnSchedule& Returns() { return m_returns; }
 
  private:
   /// Ejects the server after the given number of consecutive failures.
@@ -108,6 +111,7 @@
   TimePoint m_known_since;
   uint32_t m_own_in_flight = 0;
   uint32_t m_waiting = 0;
+  ReturnSchedule m_returns;
   PeerLoadEstimate m_peer_load;
   TimePoint m_reported_at{};
   /// The last report received by this VM, until it is shared with the others.
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -46,6 +46,8 @@
   /// Servers skipped because they ask for no more requests.
   uint32_t m_passed_over = 0;
   uint64_t m_table_version = 0;
+  /// Whether the request was recognised as sent before and rejected.
+  bool m_is_returning = false;
 };
 
 /// Cancel an attempt: its connection is closed, which ends the work at the
@@ -77,6 +79,8 @@
   uint32_t m_passed_over = 0;
   /// Servers that crashed while they ran the request.
   size_t m_crashes = 0;
+  /// Whether the request was recognised as sent before and rejected.
+  bool m_is_returning = false;
 };
 
 /// For logs only: the assumed state of a server, service or failure domain
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -27,10 +27,20 @@
   /// Priority of the organisation, or of the route if it has none.
   int m_organisation = 0;
   int m_route = 0;
+  /// The next two are set in uneven services only.
+  /// Whether the caller has not been rejected before. A second rejection is
+  /// final for a caller, a first one is not.
+  bool m_is_first_call = false;
+  /// Whether it can no longer be answered within its target latency.
+  bool m_misses_target = false;
 
   bool GoesBefore(const RequestRank& other) const {
-    return std::tie(m_organisation, m_route) <
-           std::tie(other.m_organisation, other.m_route);
+    return AsTuple() < other.AsTuple();
+  }
+
+ private:
+  std::tuple<int, int, bool, bool> AsTuple() const {
+    return {m_organisation, m_route, m_is_first_call, m_misses_target};
   }
 };
 
@@ -67,6 +77,14 @@
   /// configured organisations.
   const Organisation* m_organisation = nullptr;
   RequestRank m_rank;
+  /// Time between its caller's first attempt and its arrival here; zero if it
+  /// was not recognised as returning.
+  Duration m_returned_after{};
+  /// Other requests went ahead of it in the queue since its wait was last
+  /// checked.
+  bool m_was_displaced = false;
+  /// Its need for a retry has been counted.
+  bool m_is_retry_need_counted = false;
   std::string m_service;
   RegionShares::Mask m_allowed_regions = 0;
   TimePoint m_arrived;
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -86,7 +86,8 @@
   request.m_route = route;
   request.m_organisation = nullptr;
   request.m_allowed_regions = MaskOf(route->m_home_regions);
-  request.m_rank = {route->m_priority, route->m_priority};
+  request.m_rank.m_organisation = route->m_priority;
+  request.m_rank.m_route = route->m_priority;
   if (m_table->m_organisations && !route->m_is_public) {
     if (const auto refusal = Identify(request)) {
       return refusal;
@@ -161,6 +162,7 @@
     Refuse(request, SteerRefusal::kStopping, now);
     return;
   }
+  ServeUnevenQueues(now);
   Admit(request, now);
 }
 
@@ -208,7 +210,14 @@
 }
 
 void Steering::Begin(SteeredRequest& request, TimePoint now) {
-  Service(request.m_service).CountRequest(now);
+  SteeredService& service = Service(request.m_service);
+  service.CountRequest(now);
+  const Duration returned_after = m_returns.Observe(
+      request.m_route->m_name, request.m_facts.m_time_left, now);
+  if (service.IsUneven()) {
+    request.m_returned_after = returned_after;
+    request.m_rank.m_is_first_call = returned_after == Duration::zero();
+  }
   Dispatch(request, now);
 }
 
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -20,6 +20,7 @@
 #include "steer/organisation_index.h"
 #include "steer/quota_gate.h"
 #include "steer/quota_keeper.h"
+#include "steer/return_estimate.h"
 #include "steer/route_index.h"
 #include "steer/routing_table_type.h"
 #include "steer/server_change_type.h"
@@ -186,6 +187,21 @@
                           TimePoint now);
   void StopAwaitingServer(SteeredRequest& request);
   void Send(SteeredRequest& request, ServerState* server, TimePoint now);
+  /// The queue for the server as it is for the request. In uneven services, the
+  /// requests that the request would go ahead of do not count.
+  QueueState QueueFor(SteeredRequest& request,
+                      const ServerState* server,
+                      TimePoint now);
+  /// Whether the request, sent to the server now, would miss its target.
+  bool MissesTarget(const SteeredRequest& request,
+                    const ServerState& server,
+                    TimePoint now);
+  /// Sorts an uneven service's queue again if requests can no longer meet their
+  /// targets.
+  void ReorderWaiting(SteeredService& service, TimePoint now);
+  /// Sends waiting requests of uneven services, so that a request that arrives
+  /// now gets no slot before them.
+  void ServeUnevenQueues(TimePoint now);
   void Enqueue(SteeredRequest& request, ServerState* server);
   void Dequeue(SteeredRequest& request);
   /// Dispatches the requests that wait for the server again.
@@ -199,8 +215,17 @@
                    TimePoint now);
   void ServeWaiting(SteeredService& service, TimePoint now);
   void CheckDeadline(SteeredRequest& request, TimePoint now);
+  /// Whether other requests went ahead of this waiting first call, so that its
+  /// caller had better return than wait.
+  bool IsDisplaced(SteeredRequest& request, TimePoint now);
   void SendHedge(SteeredRequest& request, TimePoint now);
   void Refuse(SteeredRequest& request, SteerRefusal reason, TimePoint now);
+  /// Time after which the caller of a refused request may return.
+  Duration ReturnTime(const SteeredRequest& request,
+                      SteerRefusal reason,
+                      const Choice& choice,
+                      const QueueState& queue,
+                      TimePoint now);
   /// Time until the first server that may serve the request accepts requests
   /// again; zero if one does now or none will.
   Duration TimeUntilServerAvailable(const SteeredRequest& request,
@@ -281,6 +306,7 @@
   ServerLimits m_server_limits;
   NoticeArchive m_notice_archive;
   bool m_may_be_replaced = false;
+  ReturnEstimate m_returns;
   CrashRegister m_crashes;
   /// By the server's instance.
   std::map<std::string, std::vector<PendingCrashCheck>> m_pending_crash_checks;
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -28,11 +28,13 @@
   refusal.m_sends = static_cast<uint32_t>(request.m_tried.size());
   refusal.m_crashes = m_crashes.CrashCount(request.m_facts.m_digest, now);
   refusal.m_organisation = NameOf(request.m_organisation);
+  refusal.m_is_returning = request.m_returned_after > Duration::zero();
   if (!request.m_service.empty()) {
     SteeredService& service = Service(request.m_service);
-    refusal.m_queue = service.QueueAt(Choose(request, now).m_fastest, now);
+    const Choice choice = Choose(request, now);
+    refusal.m_queue = service.QueueAt(choice.m_fastest, now);
     refusal.m_retry_after =
-        RetryAfter(refusal.m_queue, refusal.m_request.Get());
+        ReturnTime(request, reason, choice, refusal.m_queue, now);
     refusal.m_passed_over = request.m_passed_over;
     if (reason == SteerRefusal::kNoServer) {
       refusal.m_retry_after =
@@ -65,6 +67,30 @@
   RemoveRequest(refusal.m_request);
 }
 
+Duration Steering::ReturnTime(const SteeredRequest& request,
+                              SteerRefusal reason,
+                              const Choice& choice,
+                              const QueueState& queue,
+                              TimePoint now) {
+  const uint64_t seed = request.m_facts.m_request.Get();
+  const bool has_schedule =
+      Service(request.m_service).IsUneven() && choice.m_fastest != nullptr &&
+      DescribeSteerRefusal(reason).m_status == 503 && !request.m_may_have_run;
+  if (!has_schedule) {
+    return RetryAfter(queue, seed);
+  }
+  if (reason == SteerRefusal::kRetriesSpent &&
+      choice.m_fastest_free != nullptr) {
+    // Servers shed requests although they have free slots. A later attempt has
+    // no better chance, and leaves less time.
+    return kMinRetryAfter;
+  }
+  const TimePoint target = request.m_arrived - request.m_returned_after +
+                           request.m_route->m_target_latency;
+  return choice.m_fastest->Returns().Next(
+      queue, target - now - queue.m_usual_latency, seed, now);
+}
+
 Duration Steering::TimeUntilServerAvailable(const SteeredRequest& request,
                                             TimePoint now) {
   PickCriteria criteria;
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -15,6 +15,7 @@
   m_table = std::move(table);
   m_index = std::make_unique<RouteIndex>(*m_table);
   m_organisations = std::make_unique<OrganisationIndex>(*m_table);
+  m_returns.KeepRoutesOf(*m_table);
   // The newest table applies to waiting requests as it does to new ones: their
   // route or key may be gone, or their service may have changed.
   std::vector<RequestId> waiting;
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -56,8 +56,7 @@
   budget.m_time_to_target =
       request.m_arrived - now + request.m_route->m_target_latency;
   budget.m_time_to_deadline = request.m_deadline - now;
-  const QueueState queue =
-      Service(request.m_service).QueueAt(choice.m_fastest, now);
+  const QueueState queue = QueueFor(request, choice.m_fastest, now);
   if (MayWait(queue, budget)) {
     Enqueue(request, choice.m_fastest);
     return;
@@ -68,6 +67,60 @@
   Refuse(request, SteerRefusal::kOverloaded, now);
 }
 
+QueueState Steering::QueueFor(SteeredRequest& request,
+                              const ServerState* server,
+                              TimePoint now) {
+  SteeredService& service = Service(request.m_service);
+  QueueState state = service.QueueAt(server, now);
+  if (!service.IsUneven() || server == nullptr) {
+    return state;
+  }
+  request.m_rank.m_misses_target = MissesTarget(request, *server, now);
+  const auto& queue = service.Waiting();
+  state.m_ahead = static_cast<size_t>(
+      std::count_if(queue.begin(), queue.end(), [&](RequestId id) {
+        const SteeredRequest& other = m_requests.at(id);
+        return &other != &request && other.m_queued_for.get() == server &&
+               !request.m_rank.GoesBefore(other.m_rank);
+      }));
+  return state;
+}
+
+bool Steering::MissesTarget(const SteeredRequest& request,
+                            const ServerState& server,
+                            TimePoint now) {
+  const Duration usual =
+      Service(request.m_service).QueueAt(&server, now).m_usual_latency;
+  const TimePoint first_sent = request.m_arrived - request.m_returned_after;
+  return now + usual > first_sent + request.m_route->m_target_latency;
+}
+
+void Steering::ReorderWaiting(SteeredService& service, TimePoint now) {
+  bool has_changed = false;
+  for (const RequestId id : service.Waiting()) {
+    SteeredRequest& request = m_requests.at(id);
+    if (!request.m_rank.m_misses_target &&
+        MissesTarget(request, *request.m_queued_for, now)) {
+      request.m_rank.m_misses_target = true;
+      has_changed = true;
+    }
+  }
+  if (has_changed) {
+    // Stable: requests of equal rank stay in order of arrival.
+    service.Waiting().sort([this](RequestId one, RequestId other) {
+      return m_requests.at(one).m_rank.GoesBefore(m_requests.at(other).m_rank);
+    });
+  }
+}
+
+void Steering::ServeUnevenQueues(TimePoint now) {
+  for (auto& [name, service] : m_services) {
+    if (service->IsUneven() && !service->Waiting().empty()) {
+      ServeWaiting(*service, now);
+    }
+  }
+}
+
 void Steering::Enqueue(SteeredRequest& request, ServerState* server) {
   auto& queue = Service(request.m_service).Waiting();
   request.m_is_queued = true;
@@ -77,6 +130,10 @@
       std::find_if(queue.begin(), queue.end(), [&](RequestId id) {
         return request.m_rank.GoesBefore(m_requests.at(id).m_rank);
       });
+  for (auto it = later; it != queue.end(); ++it) {
+    SteeredRequest& behind = m_requests.at(*it);
+    behind.m_was_displaced |= behind.m_queued_for == request.m_queued_for;
+  }
   queue.insert(later, request.m_facts.m_request);
 }
 
@@ -129,11 +186,18 @@
   }
   const double vms =
       std::max<double>(1, static_cast<double>(m_picker.Fleet().size()));
-  request.m_is_retry_charged =
-      Service(request.m_service)
-          .Retries()
-          .TrySpend(m_settings.m_retry_ratio * kRetryRatioFraction,
-                    m_settings.m_retry_extra * kRetryExtraFraction / vms, now);
+  RetryBudgetShare& retries = Service(request.m_service).Retries();
+  const double ratio = m_settings.m_retry_ratio * kRetryRatioFraction;
+  const double extra = m_settings.m_retry_extra * kRetryExtraFraction / vms;
+  if (request.m_rank.m_is_first_call) {
+    request.m_is_retry_charged = retries.TrySpendAsFirstCall(ratio, extra, now);
+    return request.m_is_retry_charged;
+  }
+  const bool is_returning = request.m_returned_after > Duration::zero();
+  if (is_returning && !std::exchange(request.m_is_retry_need_counted, true)) {
+    retries.CountReturningNeed(now);
+  }
+  request.m_is_retry_charged = retries.TrySpend(ratio, extra, now);
   return request.m_is_retry_charged;
 }
 
@@ -177,22 +241,23 @@
       Service(request.m_service).UsualIn(server->Region());
   const size_t max_idle_connections = MaxIdleConnections(
       RulesOf(entry.m_service).m_max_connections, m_picker.Fleet().size());
-  m_sink(
-      SendToServer{.m_request = request.m_facts.m_request,
-                   .m_attempt = attempt,
-                   .m_instance = entry.m_instance,
-                   .m_address = entry.m_address,
-                   .m_time_left = request.m_deadline - now,
-                   .m_idempotent = request.m_route->m_idempotent,
-                   .m_organisation = NameOf(request.m_organisation),
-                   .m_strips_key = request.m_table->m_organisations.has_value(),
-                   .m_max_idle_connections = max_idle_connections,
-                   .m_service = request.m_service,
-                   .m_region = m_regions[server->Region()],
-                   .m_occupancy = server->Occupancy(now, usual),
-                   .m_waited = now - request.m_arrived,
-                   .m_passed_over = request.m_passed_over,
-                   .m_table_version = request.m_table->m_version});
+  m_sink(SendToServer{
+      .m_request = request.m_facts.m_request,
+      .m_attempt = attempt,
+      .m_instance = entry.m_instance,
+      .m_address = entry.m_address,
+      .m_time_left = request.m_deadline - now,
+      .m_idempotent = request.m_route->m_idempotent,
+      .m_organisation = NameOf(request.m_organisation),
+      .m_strips_key = request.m_table->m_organisations.has_value(),
+      .m_max_idle_connections = max_idle_connections,
+      .m_service = request.m_service,
+      .m_region = m_regions[server->Region()],
+      .m_occupancy = server->Occupancy(now, usual),
+      .m_waited = now - request.m_arrived,
+      .m_passed_over = request.m_passed_over,
+      .m_table_version = request.m_table->m_version,
+      .m_is_returning = request.m_returned_after > Duration::zero()});
 }
 
 void Steering::Ended(RequestId id,
@@ -243,6 +308,10 @@
     // refused then.
     const bool is_open = m_requests.contains(id);
     if (is_open && !request.m_awaits_check) {
+      if (service.IsUneven()) {
+        // Otherwise the retry would get a slot before those that wait for it.
+        ServeWaiting(service, now);
+      }
       RetryOrFail(request, attempt, report.m_end, now);
     }
   }
@@ -270,6 +339,9 @@
 
 void Steering::ServeWaiting(SteeredService& service, TimePoint now) {
   auto& queue = service.Waiting();
+  if (service.IsUneven()) {
+    ReorderWaiting(service, now);
+  }
   int misses = 0;
   for (auto it = queue.begin();
        it != queue.end() && misses < kMaxQueueMisses;) {
@@ -323,12 +395,27 @@
     const Duration usual = Service(request.m_service).Usual().m_latency;
     if (now + usual / 2 > request.m_deadline) {
       Refuse(request, SteerRefusal::kTooLate, now);
+    } else if (IsDisplaced(request, now)) {
+      Refuse(request, SteerRefusal::kOverloaded, now);
     }
     return;
   }
   SendHedge(request, now);
 }
 
+bool Steering::IsDisplaced(SteeredRequest& request, TimePoint now) {
+  const bool was_displaced = std::exchange(request.m_was_displaced, false);
+  if (!was_displaced || !request.m_rank.m_is_first_call ||
+      !request.m_tried.empty()) {
+    return false;
+  }
+  WaitBudget budget;
+  budget.m_time_to_target =
+      request.m_arrived - now + request.m_route->m_target_latency;
+  budget.m_time_to_deadline = request.m_deadline - now;
+  return !MayWait(QueueFor(request, request.m_queued_for.get(), now), budget);
+}
+
 void Steering::SendHedge(SteeredRequest& request, TimePoint now) {
   if (!request.m_route->m_idempotent || request.m_live_attempts.size() != 1 ||
       IsSuspect(request, now)) {
