Show returning requests in the log and the metrics

Cause: an operator could not see which requests were sent before and rejected, nor how they end.

Change: field returning in the send and refuse lines, counter sorrelplank_returning_requests_total by outcome.

--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -39,6 +39,11 @@
                     .Help("Requests sent, by service and region of the server")
                     .Labels(m_labels)
                     .Register(m_registry)),
+        m_returning(prom::BuildCounter()
+                        .Name("sorrelplank_returning_requests_total")
+                        .Help("Requests that were rejected before, by outcome")
+                        .Labels(m_labels)
+                        .Register(m_registry)),
         m_gauges(prom::BuildGauge()
                      .Name("sorrelplank_state")
                      .Help("Present values, by name")
@@ -65,6 +70,7 @@
   prom::Family<prom::Histogram>& m_answers;
   prom::Family<prom::Histogram>& m_attempts;
   prom::Family<prom::Counter>& m_sends;
+  prom::Family<prom::Counter>& m_returning;
   prom::Family<prom::Gauge>& m_gauges;
   prom::Family<prom::Gauge>& m_store_calls;
 };
@@ -79,6 +85,10 @@
       .Observe(ToMilliseconds(time) / 1000);
 }
 
+void ProxyMetrics::CountReturning(const std::string& outcome) {
+  m_impl->m_returning.Add({{"outcome", outcome}}).Increment();
+}
+
 void ProxyMetrics::CountSend(const std::string& service,
                              const std::string& region) {
   m_impl->m_sends.Add({{"service", service}, {"region", region}}).Increment();
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -62,6 +62,9 @@
   /// Records the response to a client. The outcome is "forwarded", "malformed",
   /// "client_left" or the name of a refusal.
   void CountResponse(const std::string& outcome, Duration time);
+  /// Counts the response to a request that was rejected before; the outcome is
+  /// as in CountResponse().
+  void CountReturning(const std::string& outcome);
   /// Counts a request sent to a backend server of the region.
   void CountSend(const std::string& service, const std::string& region);
   /// Records the end of one send and its duration.
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -152,6 +152,9 @@
                 {{"request", it->second.m_id},
                  {"after_ms", LogMs(now - it->second.m_arrived)}});
     m_metrics.CountResponse("client_left", now - it->second.m_arrived);
+    if (it->second.m_is_returning) {
+      m_metrics.CountReturning("client_left");
+    }
     m_steering.ClientLeft(id, now);
     m_open_requests.erase(id);
   }
@@ -197,7 +200,8 @@
 }
 
 void RequestProxy::Handle(const SendToServer& action) {
-  const OpenRequest& open = m_open_requests.at(action.m_request);
+  OpenRequest& open = m_open_requests.at(action.m_request);
+  open.m_is_returning = action.m_is_returning;
   m_log.Write("send",
               {{"request", open.m_id},
                {"attempt", static_cast<int64_t>(action.m_attempt.Get())},
@@ -210,6 +214,7 @@
                {"waited_ms", LogMs(action.m_waited)},
                {"passed_over", int64_t{action.m_passed_over}},
                {"time_left_ms", LogMs(action.m_time_left)},
+               {"returning", int64_t{action.m_is_returning ? 1 : 0}},
                {"config", static_cast<int64_t>(action.m_table_version)}});
   m_metrics.CountSend(action.m_service, action.m_region);
   ServerRequest send;
@@ -276,7 +281,8 @@
   const SteerRefusalRow& row = DescribeSteerRefusal(action.m_reason);
   const std::string retry_after =
       fmt::format("{:.3f}", ToMilliseconds(action.m_retry_after) / 1000);
-  const OpenRequest& open = m_open_requests.at(action.m_request);
+  OpenRequest& open = m_open_requests.at(action.m_request);
+  open.m_is_returning = action.m_is_returning;
   m_log.Write("refuse",
               {{"request", open.m_id},
                {"reason", row.m_name},
@@ -291,6 +297,7 @@
                {"ends_per_second", action.m_queue.m_completions_per_second},
                {"usual_ms", LogMs(action.m_queue.m_usual_latency)},
                {"retry_after_s", retry_after},
+               {"returning", int64_t{action.m_is_returning ? 1 : 0}},
                {"config", static_cast<int64_t>(action.m_table_version)}});
   HttpResponse response;
   response.m_status = row.m_status;
@@ -385,6 +392,9 @@
   }
   const Duration time = SteadyNow() - open.m_arrived;
   m_metrics.CountResponse(outcome, time);
+  if (open.m_is_returning) {
+    m_metrics.CountReturning(outcome);
+  }
   m_log.Write("answer", {{"request", open.m_id},
                          {"outcome", outcome},
                          {"status", int64_t{response.m_status}},
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -74,6 +74,8 @@
     std::string m_id;
     RequestDigest m_digest;
     TimePoint m_arrived;
+    /// Recognised as sent before and rejected.
+    bool m_is_returning = false;
     /// Response of the last send that ended.
     HttpResponse m_server_response;
   };
