--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -168,6 +168,9 @@
                 {{"request", it->second.m_id},
                  {"after_ms", LogMs(now - it->second.m_arrived)}});
     m_metrics.CountResponse("client_left", now - it->second.m_arrived);
+    if (it->second.m_is_returning) {
+      m_metrics.CountReturning("client_left");
+    }
     m_steering.ClientLeft(id, now);
     m_open_requests.erase(id);
   }
@@ -213,7 +216,8 @@
 }
 
 void RequestProxy::Handle(const SendToServer& action) {
-  const OpenRequest& open = m_open_requests.at(action.m_request);
+  OpenRequest& open = m_open_requests.at(action.m_request);
+  open.m_is_returning = action.m_is_returning;
   m_log.Write("send",
               {{"request", open.m_id},
                {"attempt", static_cast<int64_t>(action.m_attempt.Get())},
@@ -227,6 +231,7 @@
                {"passed_over", int64_t{action.m_passed_over}},
                {"hedge", int64_t{action.m_is_hedge ? 1 : 0}},
                {"time_left_ms", LogMs(action.m_time_left)},
+               {"returning", int64_t{action.m_is_returning ? 1 : 0}},
                {"config", static_cast<int64_t>(action.m_table_version)}});
   m_metrics.CountSend(action.m_service, action.m_region);
   if (action.m_is_second_choice) {
@@ -307,7 +312,8 @@
   const SteerRefusalRow& row = DescribeSteerRefusal(action.m_reason);
   const std::string retry_after =
       fmt::format("{:.3f}", ToMilliseconds(action.m_retry_after) / 1000);
-  const OpenRequest& open = m_open_requests.at(action.m_request);
+  OpenRequest& open = m_open_requests.at(action.m_request);
+  open.m_is_returning = action.m_is_returning;
   m_log.Write(
       "refuse",
       {{"request", open.m_id},
@@ -325,6 +331,7 @@
        {"forecast_ms", LogMs(action.m_time_to_answer)},
        {"time_left_ms", LogMs(action.m_time_left)},
        {"retry_after_s", retry_after},
+       {"returning", int64_t{action.m_is_returning ? 1 : 0}},
        {"body_bytes", static_cast<int64_t>(open.m_request.m_body.size())},
        {"held_bytes", static_cast<int64_t>(m_bodies.Held())},
        {"config", static_cast<int64_t>(action.m_table_version)}});
@@ -421,6 +428,9 @@
   }
   const Duration time = SteadyNow() - open.m_arrived;
   m_metrics.CountResponse(outcome, time);
+  if (open.m_is_returning) {
+    m_metrics.CountReturning(outcome);
+  }
   m_log.Write("answer", {{"request", open.m_id},
                          {"outcome", outcome},
                          {"status", int64_t{response.m_status}},
--- a/src/steer/retry_budget_share.h
+++ b/src/steer/retry_budget_share.h
@@ -30,6 +30,17 @@
   /// that the rest stays available for failures.
   bool TrySpendHedge(double ratio, double extra, TimePoint now);
 
+  /// Counts a returning request that needs a retry, whether it gets one or not.
+  void CountReturningNeed(TimePoint now);
+
+  /// As TrySpend(), for a first call: leaves as much of the budget as returning
+  /// requests needed within the window, up to a fixed part.
+  ///
+  /// Load pattern: servers shed half of all requests, and the retries of first
+  /// calls spend the budget as soon as it grows. Returning requests then find
+  /// none, and are rejected for good.
+  bool TrySpendAsFirstCall(double ratio, double extra, TimePoint now);
+
  private:
   static constexpr size_t kBuckets = 20;
 
@@ -39,6 +50,9 @@
     /// Including hedges.
     uint32_t m_retries = 0;
     uint32_t m_hedges = 0;
+    /// Part of the retries that TrySpendAsFirstCall() counted.
+    uint32_t m_first_call_retries = 0;
+    uint32_t m_returning_needs = 0;
   };
 
   void Advance(TimePoint now);
--- a/src/steer/server_state.h
+++ b/src/steer/server_state.h
@@ -13,6 +13,7 @@
 #include "steer/machine_speed.h"
 #include "steer/peer_load_estimate.h"
 #include "steer/quantile_estimator.h"
+#include "steer/return_schedule.h"
 #include "steer/server_entry_type.h"
 #include "steer/server_load_type.h"
 #include "steer/server_notices.h"
@@ -99,6 +100,8 @@
   uint32_t Waiting() const { return m_waiting; }
   void AddWaiting() { ++m_waiting; }
   void RemoveWaiting() { --m_waiting; }
+  /// When the callers that this VM rejects for want of its slots return.
+  ReturnSchedule& Returns() { return m_returns; }
 
  private:
   /// Ejects the server after the given number of consecutive failures.
@@ -111,6 +114,7 @@
   TimePoint m_known_since;
   uint32_t m_own_in_flight = 0;
   uint32_t m_waiting = 0;
+  ReturnSchedule m_returns;
   PeerLoadEstimate m_peer_load;
   MachineSpeed m_machine_speed;
   TimePoint m_reported_at{};
--- a/tests/retry_budget_share_test.cc
+++ b/tests/retry_budget_share_test.cc
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include <utility>
+
 namespace sorrelplank {
 namespace {
 
@@ -48,5 +50,37 @@
   cr_assert_geq(spent, 3000 / 6);
 }
 
+/// Retries in ten seconds of first calls and of the one in `returning`.
+std::pair<int, int> SpendAll(RetryBudgetShare& budget,
+                             int returning,
+                             TimePoint start) {
+  std::pair<int, int> spent;
+  for (int step = 0; step < 1000; ++step) {
+    const TimePoint now = start + milliseconds(10) * step;
+    const bool returns = returning > 0 && step % returning == 0;
+    budget.CountRequest(now);
+    if (returns) {
+      budget.CountReturningNeed(now);
+      spent.second += budget.TrySpend(0.2, 0, now) ? 1 : 0;
+    }
+    spent.first += budget.TrySpendAsFirstCall(0.2, 0, now) ? 1 : 0;
+  }
+  return spent;
+}
+
+// Guards against first calls spending what returning requests need, against the
+// two together exceeding the budget, and against a reserve that nobody uses.
+Test(RetryBudgetShare, ManyThenFewReturn_FirstCallsLeaveWhatTheyNeed) {
+  RetryBudgetShare budget(kWindow);
+  SpendAll(budget, 0, TimePoint(seconds(100)));
+  SpendAll(budget, 3, TimePoint(seconds(110)));
+  const auto many = SpendAll(budget, 3, TimePoint(seconds(120)));
+  cr_assert(many.second >= 85 && many.first >= 75);
+  cr_assert_leq(many.first + many.second, 210);
+  SpendAll(budget, 100, TimePoint(seconds(130)));
+  const auto few = SpendAll(budget, 100, TimePoint(seconds(140)));
+  cr_assert(few.second >= 9 && few.first >= 160);
+}
+
 }  // namespace
 }  // namespace sorrelplank
