--- a/src/steer/retry_budget_share.cc
+++ b/src/steer/retry_budget_share.cc
@@ -11,8 +11,8 @@
 /// Part of the budget that hedges may use. They would otherwise spend it while
 /// machines are slowed, and rejected requests would find nothing left.
 constexpr double kHedgeFraction = 0.5;
-/// Part of the budget that first calls may always use. A caller returns at most
-/// once, so at most half of the requests are returning ones.
+/// Part of the budget that is never reserved for returning requests. A caller
+/// returns at most once, so at most half of the requests are returning ones.
 constexpr double kFirstCallFraction = 0.5;
 
 }  // namespace
--- a/src/steer/return_estimate.cc
+++ b/src/steer/return_estimate.cc
@@ -22,6 +22,10 @@
 /// half of the requests, and the rest is margin for chance.
 constexpr double kMinFractionAtLongest = 0.4;
 
+/// Largest fraction of the budget that a first attempt and the wait after it
+/// take. A still shorter budget belongs to another kind of client.
+constexpr double kMaxElapsedFraction = 0.5;
+
 }  // namespace
 
 void ReturnEstimate::Period::Add(Duration time_left) {
@@ -63,7 +67,9 @@
   const bool is_known = requests >= kMinRequests &&
                         at_longest >= kMinFractionAtLongest * requests;
   const Duration elapsed = longest - time_left;
-  return is_known && elapsed >= kMinRetryAfter ? elapsed : Duration::zero();
+  const bool is_plausible =
+      elapsed >= kMinRetryAfter && elapsed <= longest * kMaxElapsedFraction;
+  return is_known && is_plausible ? elapsed : Duration::zero();
 }
 
 void ReturnEstimate::KeepRoutesOf(const RoutingTable& table) {
--- a/src/steer/send_forecast.cc
+++ b/src/steer/send_forecast.cc
@@ -62,10 +62,12 @@
   }
   // A free slot costs no other request its place. The object may be cached
   // although this VM does not know it, and a service that usually takes longer
-  // than its timeout would otherwise never be tried again.
+  // than callers allow would otherwise never be tried again. With less than
+  // half of its time left, a request would only be cut off.
   const Duration shortest =
       *m_conditions.m_cached_work + m_conditions.m_round_trip;
-  return shortest <= time.m_left || shortest > time.m_full;
+  return shortest <= time.m_left ||
+         (shortest > time.m_full && 2 * time.m_left >= time.m_full);
 }
 
 Duration SendForecast::TimeUntilItCan(const AnswerTime& time) const {
--- a/src/steer/steering_forecast.cc
+++ b/src/steer/steering_forecast.cc
@@ -12,7 +12,7 @@
 
 AnswerTime TimeOf(const SteeredRequest& request, TimePoint now) {
   return {.m_left = request.m_deadline - now,
-          .m_full = request.m_route->m_timeout};
+          .m_full = request.m_deadline - request.m_arrived};
 }
 
 }  // namespace
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -81,7 +81,11 @@
   if (!service.IsUneven() || server == nullptr) {
     return state;
   }
-  request.m_rank.m_misses_target = MissesTarget(request, *server, now);
+  if (!request.m_is_queued) {
+    // The rank of a queued request changes in ReorderWaiting() only, which
+    // sorts the queue again.
+    request.m_rank.m_misses_target = MissesTarget(request, *server, now);
+  }
   const auto& queue = service.Waiting();
   state.m_ahead = static_cast<size_t>(
       std::count_if(queue.begin(), queue.end(), [&](RequestId id) {
--- a/tests/return_estimate_test.cc
+++ b/tests/return_estimate_test.cc
@@ -76,6 +76,16 @@
   cr_assert(load.IsReturning(kBudget));
 }
 
+// Guards against clients of a shorter budget counting as returning beside those
+// of a longer one.
+Test(ReturnEstimate, TwoKindsOfClients_ShorterBudget_IsNotReturning) {
+  RouteLoad load;
+  for (int request = 0; request < 100; ++request) {
+    cr_assert_not(load.IsReturning(seconds(10)));
+    cr_assert_not(load.IsReturning(seconds(4)));
+  }
+}
+
 // Guards against growth over the versions of the routing table.
 Test(ReturnEstimate, RouteRemoved_IsForgotten) {
   RouteLoad load;
@@ -103,5 +113,23 @@
   }
 }
 
+// Guards against callers that are told the longest time together, where the
+// queue, or the time to the target, is longer than that.
+Test(ReturnSchedule, WaitBeyondTheLongestTime_CallersAreSpread) {
+  const TimePoint now(seconds(10));
+  const QueueState queue{.m_ahead = 14, .m_completions_per_second = 9};
+  for (const Duration in_time :
+       {Duration(milliseconds(-100)), Duration(milliseconds(2350))}) {
+    ReturnSchedule schedule;
+    int at_longest = 0;
+    for (uint64_t seed = 0; seed < 24; ++seed) {
+      const Duration time = schedule.Next(queue, in_time, seed, now);
+      cr_assert_leq(time.count(), kMaxRetryAfter.count());
+      at_longest += time == kMaxRetryAfter ? 1 : 0;
+    }
+    cr_assert_leq(at_longest, 3);
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank
--- a/tests/send_forecast_test.cc
+++ b/tests/send_forecast_test.cc
@@ -144,6 +144,15 @@
   cr_assert(CanFinish(MakeConditions(0), milliseconds(700)));
 }
 
+// Guards against callers with a budget below the route's timeout being refused
+// for good, on idle servers, by work that was learned from others.
+Test(SendForecast, BudgetBelowTheWork_IdleServer_IsAttempted) {
+  const SendForecast forecast(MakeConditions(0));
+  const Duration budget = milliseconds(500);
+  cr_assert(forecast.CanFinish({.m_left = budget, .m_full = budget}));
+  cr_assert_not(forecast.CanFinish({.m_left = budget / 10, .m_full = budget}));
+}
+
 // Guards against estimates that follow the requests whose objects are not
 // cached.
 Test(SendForecast, MostObjectsNotCached_WorkEstimate_IsNearCachedWork) {
