--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -51,6 +51,11 @@
                      .Help("Second attempts beside one in flight, by event")
                      .Labels(m_labels)
                      .Register(m_registry)),
+        m_returning(prom::BuildCounter()
+                        .Name("sorrelplank_returning_requests_total")
+                        .Help("Requests that were rejected before, by outcome")
+                        .Labels(m_labels)
+                        .Register(m_registry)),
         m_gauges(prom::BuildGauge()
                      .Name("sorrelplank_state")
                      .Help("Present values, by name")
@@ -79,6 +84,7 @@
   prom::Family<prom::Counter>& m_sends;
   prom::Family<prom::Counter>& m_second_choices;
   prom::Family<prom::Counter>& m_hedges;
+  prom::Family<prom::Counter>& m_returning;
   prom::Family<prom::Gauge>& m_gauges;
   prom::Family<prom::Gauge>& m_store_calls;
 };
@@ -93,6 +99,10 @@
       .Observe(ToMilliseconds(time) / 1000);
 }
 
+void ProxyMetrics::CountReturning(const std::string& outcome) {
+  m_impl->m_returning.Add({{"outcome", outcome}}).Increment();
+}
+
 void ProxyMetrics::CountSend(const std::string& service,
                              const std::string& region) {
   m_impl->m_sends.Add({{"service", service}, {"region", region}}).Increment();
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -79,6 +79,8 @@
     TimePoint m_arrived;
     /// For the request itself.
     BodyReservation m_held;
+    /// Recognised as sent before and rejected.
+    bool m_is_returning = false;
     /// Response of the last send that ended.
     HttpResponse m_server_response;
     BodyReservation m_response_held;
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -51,6 +51,8 @@
   /// request, but was expected to answer later.
   bool m_is_second_choice = false;
   uint64_t m_table_version = 0;
+  /// Whether the request was recognised as sent before and rejected.
+  bool m_is_returning = false;
 };
 
 /// Cancel an attempt: its connection is closed, which ends the work at the
@@ -88,6 +90,8 @@
   uint32_t m_passed_over = 0;
   /// Servers that crashed while they ran the request.
   size_t m_crashes = 0;
+  /// Whether the request was recognised as sent before and rejected.
+  bool m_is_returning = false;
 };
 
 /// For logs only: the assumed state of a server, service or failure domain
