--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -37,7 +37,7 @@
   bool m_checks_times = false;
 };
 
-/// Six entry VMs in three failure domains, twelve backend servers of two
+/// Nine entry VMs in three failure domains, twelve backend servers of two
 /// services, a store, and callers. Offers faults to a random schedule; each
 /// fault ends by itself.
 class SoakEnvironment {
--- a/src/steer/hedge_policy.cc
+++ b/src/steer/hedge_policy.cc
@@ -20,13 +20,8 @@
 constexpr double kOverdueFactor = 1.1;
 /// A hedge is sent when this multiple of the other server's expected latency is
 /// left until the target: late enough that most ordinary responses have come,
-/// and early enough to answer in time. By arithmetic for work of 225 ms
-/// (standard deviation 15 %), 8 to 20 ms of network one way, a target of 600
-/// ms, spells of 2.5 times the time during 0.15 of it, 0.03 of the requests
-/// with 7 times the work and a check every 20 ms: late responses made timely,
-/// per request and per hedge, are 0.066 and 0.34 with 1.1, 0.085 and 0.37
-/// with 1.2, 0.090 and 0.35 with 1.25. A fixed delay of 1.3 usual latencies
-/// gives 0.042 and 0.34, since it often leaves no time for the hedge.
+/// and early enough to answer in time. A fixed delay after the first attempt
+/// often leaves no time for the hedge.
 constexpr double kTimeToAnswer = 1.2;
 /// Utilisation of the region in requests per slot above which the slots are
 /// left to first attempts: queues form soon beyond it.
--- a/src/steer/replica_choice.cc
+++ b/src/steer/replica_choice.cc
@@ -14,14 +14,10 @@
 /// Servers, from the first in an object's ranking, that are assumed to have the
 /// object cached. All entry VMs rank an object's first server first, so its
 /// cache is warm through their requests, which this VM does not see. Assuming a
-/// cache miss there sent the object to the second server on any wait. Value of
-/// the responses to their callers under overload, relative to the maximum:
-/// 0.714 with that assumption, 0.731 without.
+/// cache miss there sent the object to the second server on any wait.
 constexpr size_t kAssumedCached = 1;
 /// The same in a service with uneven capacity. Its first servers are full so
-/// often that the second ones get the object from several VMs, too. Value of
-/// the responses on two such days: 0.623 and 0.759, instead of 0.574 and 0.733
-/// with one server.
+/// often that the second ones get the object from several VMs, too.
 constexpr size_t kAssumedCachedUneven = ReplicaChoice::kServersPerObject;
 
 size_t AssumedCached(bool has_object_affinity, bool is_uneven) {
--- a/src/steer/replica_choice.h
+++ b/src/steer/replica_choice.h
@@ -50,9 +50,8 @@
  public:
   /// Servers that an object's requests go to while all are healthy. With more,
   /// a free slot would be found sooner, but more often at a server that does
-  /// not have the object cached. Value of the responses to their callers on two
-  /// days with uneven capacity, relative to the maximum: 0.623 and 0.759 with
-  /// two servers, 0.568 and 0.711 with three.
+  /// not have the object cached: servers would hold more objects than they can
+  /// cache.
   static constexpr size_t kServersPerObject = 2;
 
   /// Without object affinity every server can be expected to answer equally
--- a/src/steer/send_forecast.h
+++ b/src/steer/send_forecast.h
@@ -35,7 +35,7 @@
 /// budget and its route's timeout.
 struct AnswerTime {
   Duration m_left{};
-  /// The route's timeout.
+  /// The time that it had when it arrived.
   Duration m_full{};
 };
 
