Refuse overtaken first calls also where there is a forecast

Cause: joining the forecast with the order of returning requests left an early return in CheckDeadline, so that a first call that was overtaken and can no longer wait stayed in the queue until its forecast failed.

Change: the forecast replaces only the half-latency rule.

Found by reading the merged code; no test of its own.

--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -457,11 +457,11 @@
     return;
   }
   if (request.m_is_queued) {
-    if (HasForecast(request)) {
-      return;  // See ReviewWaiting.
-    }
+    // With a forecast, ReviewWaiting() decides what can still be answered.
     const Duration usual = Service(request.m_service).Usual().m_latency;
-    if (now + usual / 2 > request.m_deadline) {
+    const bool is_too_late =
+        !HasForecast(request) && now + usual / 2 > request.m_deadline;
+    if (is_too_late) {
       Refuse(request, SteerRefusal::kTooLate, now);
     } else if (IsDisplaced(request, now)) {
       Refuse(request, SteerRefusal::kOverloaded, now);
