--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -186,7 +186,8 @@
 
 int Main(int argc, char** argv) {
   TCLAP::CmdLine line(
-      "Runs nine entry VMs as processes among stand-ins, harms them and what is "
+      "Runs nine entry VMs as processes among stand-ins, harms them and what "
+      "is "
       "around them by faults drawn from a seed, and checks what callers and "
       "backend servers see. Exit code 1 where a promise broke.",
       ' ', "0.1");
