Take objects by slots only where targets leave time for other regions

Cause: nearly all earlier deployments have a region with few servers as well.

Change: a service is split by slots only if the shortest target of its routes is 500 ms or more; otherwise its own region goes first, as before.

--- a/src/steer/capacity_balance.cc
+++ b/src/steer/capacity_balance.cc
@@ -7,6 +7,19 @@
 
 namespace sorrelplank {
 
+namespace {
+
+/// The farthest regions are 110 ms apart, there and back. Of a shorter target
+/// that is over a fifth, and what it leaves to the work is less than callers
+/// gain from evenly loaded regions.
+constexpr Duration kMinTargetForAnyRegion = milliseconds(500);
+
+}  // namespace
+
+bool MayRunInAnyRegion(Duration shortest_target) {
+  return shortest_target >= kMinTargetForAnyRegion;
+}
+
 bool IsCapacityUneven(const std::vector<double>& slots_by_region,
                       double ratio) {
   double most = 0;
--- a/src/steer/capacity_balance_func.h
+++ b/src/steer/capacity_balance_func.h
@@ -6,6 +6,8 @@
 
 #include <vector>
 
+#include "core/time_type.h"
+
 namespace sorrelplank {
 
 /// Whether, of the regions with slots, the one with the most has at least
@@ -19,6 +21,11 @@
 /// made for occasional overload are too slow.
 bool IsCapacityUneven(const std::vector<double>& slots_by_region, double ratio);
 
+/// Whether the requests of an uneven service may run in any region alike, given
+/// the shortest target latency of its routes. A request that runs in another
+/// region loses the round trip there.
+bool MayRunInAnyRegion(Duration shortest_target);
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_STEER_CAPACITY_BALANCE_FUNC_H_
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -147,6 +147,7 @@
                                   const ServiceRules& rules,
                                   double max_shift_per_second,
                                   const MovedAwayBounds& bounds,
+                                  Duration shortest_target,
                                   TimePoint now) {
   std::vector<RegionLoad> loads;
   loads.reserve(m_by_region.size());
@@ -157,7 +158,9 @@
     slots.push_back(servers.RegisteredSlots());
   }
   m_is_uneven = IsCapacityUneven(slots, m_uneven_capacity_ratio);
-  m_shares.Update(loads, max_shift_per_second, bounds, now, m_is_uneven);
+  m_is_split_by_slots = m_is_uneven && MayRunInAnyRegion(shortest_target);
+  m_shares.Update(loads, max_shift_per_second, bounds, now,
+                  m_is_split_by_slots);
 }
 
 void SteeredService::CountRequest(TimePoint now) {
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -68,11 +68,13 @@
   /// State of the queue for a server; of an empty one if the server is nullptr.
   QueueState QueueAt(const ServerState* server, TimePoint now) const;
 
-  /// Measures the load of each region and shifts the split.
+  /// Measures the load of each region and shifts the split. `shortest_target`
+  /// is that of the service's routes.
   void UpdateShares(const ServerPicker& picker,
                     const ServiceRules& rules,
                     double max_shift_per_second,
                     const MovedAwayBounds& bounds,
+                    Duration shortest_target,
                     TimePoint now);
 
   /// Records the arrival of a request.
@@ -84,6 +86,8 @@
   /// The own region's share if it has changed significantly since this method
   /// last returned it.
   std::optional<double> ShareToLog();
+  /// Whether regions take its objects by their slots.
+  bool IsSplitBySlots() const { return m_is_split_by_slots; }
   /// Whether the service is uneven, if that has changed since this method last
   /// returned it.
   std::optional<bool> UnevenToLog();
@@ -109,6 +113,7 @@
   double m_rejections = 0;
   double m_uneven_capacity_ratio;
   bool m_is_uneven = false;
+  bool m_is_split_by_slots = false;
   bool m_logged_uneven = false;
 };
 
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -262,9 +262,9 @@
   double max_moved_away = -1;
   for (const auto& [name, service] : m_services) {
     const RegionShares& shares = service->Shares();
-    // The shares of an uneven service follow its slots, however far those of
+    // These shares follow the slots of their service, however far those of
     // the others are; it would keep them away permanently.
-    if (!shares.HasStarted() || service->IsUneven()) {
+    if (!shares.HasStarted() || service->IsSplitBySlots()) {
       continue;
     }
     min_moved_away = std::min(min_moved_away, shares.MovedAway());
@@ -284,9 +284,9 @@
 
 void Steering::UpdateShares(TimePoint now) {
   for (auto& [name, service] : m_services) {
-    service->UpdateShares(m_picker, RulesOf(name),
-                          m_settings.m_max_shift * kShiftRateFraction,
-                          ShiftBounds(*service, now), now);
+    service->UpdateShares(
+        m_picker, RulesOf(name), m_settings.m_max_shift * kShiftRateFraction,
+        ShiftBounds(*service, now), ShortestTarget(name), now);
     const auto is_uneven = service->UnevenToLog();
     if (is_uneven) {
       m_sink(StateChanged{*is_uneven ? "capacity_uneven" : "capacity_even",
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -145,6 +145,9 @@
   /// Bit mask of the named regions; of all regions if none is named.
   RegionShares::Mask MaskOf(const std::vector<std::string>& homes) const;
   const ServiceRules& RulesOf(const std::string& service) const;
+  /// Shortest target latency of the service's routes; the longest possible
+  /// duration without any.
+  Duration ShortestTarget(const std::string& service) const;
 
   void AddServer(const ServerEntry& entry, size_t region, TimePoint now);
   /// Ends the attempts at a server run that is over.
@@ -331,6 +334,8 @@
   size_t m_own_region = 0;
   ServerPicker m_picker;
   std::shared_ptr<const RoutingTable> m_table;
+  /// By service, from the table in force.
+  std::map<std::string, Duration> m_shortest_targets;
   std::unique_ptr<RouteIndex> m_index;
   std::unique_ptr<OrganisationIndex> m_organisations;
   std::map<std::string, WeightedRoundRobin> m_route_splits;
--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -14,6 +14,16 @@
             "an older table never replaces a newer one");
   m_table = std::move(table);
   m_index = std::make_unique<RouteIndex>(*m_table);
+  m_shortest_targets.clear();
+  for (const RouteRule& route : m_table->m_routes) {
+    for (const BackendShare& share : route.m_shares) {
+      const auto target =
+          m_shortest_targets
+              .try_emplace(share.m_service, route.m_target_latency)
+              .first;
+      target->second = std::min(target->second, route.m_target_latency);
+    }
+  }
   m_organisations = std::make_unique<OrganisationIndex>(*m_table);
   m_returns.KeepRoutesOf(*m_table);
   // The newest table applies to waiting requests as it does to new ones: their
@@ -270,6 +280,11 @@
   return mask;
 }
 
+Duration Steering::ShortestTarget(const std::string& service) const {
+  const auto it = m_shortest_targets.find(service);
+  return it == m_shortest_targets.end() ? Duration::max() : it->second;
+}
+
 const ServiceRules& Steering::RulesOf(const std::string& service) const {
   static const ServiceRules unbounded;
   if (!m_table) {
--- a/tests/capacity_balance_test.cc
+++ b/tests/capacity_balance_test.cc
@@ -33,5 +33,12 @@
   cr_assert_not(IsCapacityUneven({12, 46, 54}, 0));
 }
 
+// Guards against requests with short targets losing them on the way to another
+// region.
+Test(CapacityBalance, TargetUnderFewRoundTrips_OwnRegionFirst) {
+  cr_assert_not(MayRunInAnyRegion(milliseconds(400)));
+  cr_assert(MayRunInAnyRegion(milliseconds(500)));
+}
+
 }  // namespace
 }  // namespace sorrelplank
--- a/tests/steering_loading_test.cc
+++ b/tests/steering_loading_test.cc
@@ -23,10 +23,12 @@
     m_steering.SetLoading(true, m_now);
   }
 
-  void Load() {
+  void Load(Duration target_latency = milliseconds(400)) {
     auto table = std::make_shared<RoutingTable>();
     table->m_version = 1;
-    table->m_routes = {MakeRoute("/read/", true)};
+    RouteRule route = MakeRoute("/read/", true);
+    route.m_target_latency = target_latency;
+    table->m_routes = {route};
     m_steering.Install(table, m_now);
     m_steering.PutServer({"a", "s", {1, 80}, "d1", 2, false, {}}, m_now);
     m_steering.SetLoading(false, m_now);
@@ -149,7 +151,7 @@
   g_fixture->m_steering.PutServer({"far", "s", {1, 81}, "d3", 18, false, {}},
                                   g_fixture->m_now);
   g_fixture->Arrive(1, "/read/x");
-  g_fixture->Load();
+  g_fixture->Load(milliseconds(600));
   double own_share = 1;
   for (const SteerAction& action : g_fixture->m_actions) {
     if (const auto* split = std::get_if<RegionSplitChanged>(&action)) {
