Log whether an entry VM reaches any backend server

The logs showed failed sends and breakers of single failure domains; whether a VM reaches no server at all, and since when, had to be guessed. New: log events servers_out_of_reach and servers_within_reach, server_probed for each probe, the gauge servers_out_of_reach, and m_is_new_connection in the report of an attempt, since a response on an open connection does not prove that a new one could be opened.

Failed sends to two servers within 2 s start a round of four probes in different failure domains; if all fail, no server is within reach. One probe each 400 ms finds the end. No decision depends on it yet.

--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -145,6 +145,7 @@
   m_impl->Set("paused_servers", gauges.m_paused_servers);
   m_impl->Set("awaiting_server_tokens", gauges.m_awaiting_server_tokens);
   m_impl->Set("limits_kept", gauges.m_limits_kept);
+  m_impl->Set("servers_out_of_reach", gauges.m_servers_out_of_reach);
   m_impl->Set("load_messages", gauges.m_load_messages);
   m_impl->Set("quota_messages", gauges.m_quota_messages);
   return prom::TextSerializer().Serialize(m_impl->m_registry.Collect());
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -53,6 +53,8 @@
   double m_paused_servers = 0;
   double m_awaiting_server_tokens = 0;
   double m_limits_kept = 0;
+  /// 1 while this VM reaches no backend server.
+  double m_servers_out_of_reach = 0;
   Datagrams m_load_messages;
   Datagrams m_quota_messages;
 };
--- a/src/proxy/reply_classifier.cc
+++ b/src/proxy/reply_classifier.cc
@@ -44,6 +44,7 @@
                             const ProxyHeaderNames& names) {
   AttemptReport report;
   report.m_latency = reply.m_latency;
+  report.m_is_new_connection = !reply.m_is_reused_connection;
   switch (reply.m_end) {
     case ReplyEnd::kNotSent:
       report.m_end = AttemptEnd::kNotSent;
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -27,6 +27,9 @@
 constexpr size_t kMaxResponseBytes = 16U << 20U;
 /// Used if a client states no valid deadline; routes have their own timeouts.
 constexpr Duration kDefaultDeadline = seconds(60);
+/// How long a connection that probes the reach of a server must stay open. What
+/// cuts a VM off may accept its connections first and reset them then.
+constexpr Duration kReachProbeHold = milliseconds(50);
 
 Duration ParseTimeLeft(const std::optional<std::string>& text) {
   double ms = 0;
@@ -370,12 +373,23 @@
 }
 
 void RequestProxy::Handle(const CheckServerReachable& action) {
-  m_pool.ProbeServer(action.m_address, [this, instance = action.m_instance](
-                                           ServerReach reach) {
-    m_log.Write("server_checked",
-                {{"server", instance}, {"reach", ServerReachName(reach)}});
-    m_steering.ServerChecked(instance, reach, SteadyNow());
-  });
+  m_pool.ProbeServer(
+      action.m_address, Duration::zero(),
+      [this, instance = action.m_instance](ServerReach reach) {
+        m_log.Write("server_checked",
+                    {{"server", instance}, {"reach", ServerReachName(reach)}});
+        m_steering.ServerChecked(instance, reach, SteadyNow());
+      });
+}
+
+void RequestProxy::Handle(const ProbeServerReach& action) {
+  m_pool.ProbeServer(
+      action.m_address, kReachProbeHold,
+      [this, instance = action.m_instance](ServerReach reach) {
+        m_log.Write("server_probed",
+                    {{"server", instance}, {"reach", ServerReachName(reach)}});
+        m_steering.ReachProbed(reach == ServerReach::kAcceptsConnections);
+      });
 }
 
 void RequestProxy::Handle(const SendQuotaRequest& action) {
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -95,6 +95,7 @@
   void Handle(const RegionSplitChanged& action);
   void Handle(const ServerRestarted& action);
   void Handle(const CheckServerReachable& action);
+  void Handle(const ProbeServerReach& action);
   void Handle(const RequestSuspected& action);
   void Handle(const RequestHeld& action);
   void Handle(const HoldEnded& action);
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -119,10 +119,11 @@
 }
 
 void ServerPool::ProbeServer(VmAddress address,
+                             Duration hold,
                              std::function<void(ServerReach)> handler) {
   ++m_connections_opened;
   std::make_shared<ServerProbe>(m_io, std::move(handler))
-      ->Start(address, kConnectTimeout);
+      ->Start(address, kConnectTimeout, hold);
 }
 
 void ServerPool::CloseExpired(TimePoint now) {
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -52,9 +52,11 @@
   /// Closes the connection of the send; its handler is not called.
   void Cancel(AttemptId attempt);
 
-  /// Opens a connection, closes it again and reports whether it could be
-  /// opened.
-  void ProbeServer(VmAddress address, std::function<void(ServerReach)> handler);
+  /// Opens a connection, closes it again after `hold` and reports whether it
+  /// could be opened and stayed open.
+  void ProbeServer(VmAddress address,
+                   Duration hold,
+                   std::function<void(ServerReach)> handler);
 
   /// Closes idle connections whose UsableUntil has passed, before their servers
   /// close them.
--- a/src/proxy/server_probe.h
+++ b/src/proxy/server_probe.h
@@ -21,15 +21,19 @@
 
   ServerProbe(asio::io_context& io, Handler handler);
 
-  /// The handler is called once, never from within Start.
-  void Start(VmAddress address, Duration timeout);
+  /// Connects within the timeout and keeps the connection open for `hold`. The
+  /// handler is called once, never from within Start.
+  void Start(VmAddress address, Duration timeout, Duration hold);
 
  private:
+  /// Reports whether the connection, which was just opened, stays open.
+  void Watch(Duration hold);
   void Finish(ServerReach reach);
 
   asio::ip::tcp::socket m_socket;
   asio::steady_timer m_timeout_timer;
   Handler m_handler;
+  char m_byte = 0;
   bool m_is_done = false;
 };
 
--- a/src/steer/attempt_report_type.h
+++ b/src/steer/attempt_report_type.h
@@ -49,6 +49,8 @@
   std::optional<ReportedLoad> m_load;
   /// Absent if the server itself sent no response.
   std::optional<ServerNotice> m_notice;
+  /// The request was sent on a connection opened for it.
+  bool m_is_new_connection = false;
   /// The server's run is known to have ended before the attempt did.
   bool m_server_ended = false;
   /// Time from the first byte sent to the last byte received.
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -128,6 +128,13 @@
   VmAddress m_address;
 };
 
+/// Open a connection to a server and close it again, to find out whether this
+/// VM reaches any server; the result is passed to ReachProbed.
+struct ProbeServerReach {
+  std::string m_instance;
+  VmAddress m_address;
+};
+
 /// This VM saw a server crash while it ran a request; to be reported to the
 /// other VMs.
 struct RequestSuspected {
@@ -169,6 +176,7 @@
                                  RegionSplitChanged,
                                  ServerRestarted,
                                  CheckServerReachable,
+                                 ProbeServerReach,
                                  RequestSuspected,
                                  RequestHeld,
                                  HoldEnded,
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -322,6 +322,7 @@
     ServeWaiting(*service, now);
   }
   DropExpiredCrashes(now);
+  ProbeServers(now);
 }
 
 }  // namespace sorrelplank
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -20,6 +20,7 @@
 #include "steer/organisation_index.h"
 #include "steer/quota_gate.h"
 #include "steer/quota_keeper.h"
+#include "steer/reach_monitor.h"
 #include "steer/return_estimate.h"
 #include "steer/route_index.h"
 #include "steer/routing_table_type.h"
@@ -102,6 +103,12 @@
   void DropCrash(const CrashRecord& record, TimePoint now);
   const CrashRegister& Crashes() const { return m_crashes; }
 
+  // Reach of the backend servers.
+  /// Result of a ProbeServerReach action.
+  void ReachProbed(bool is_reached);
+  /// Whether this VM reaches any backend server, as far as is known.
+  bool ReachesServers() const { return !m_reach.IsLost(); }
+
   // Quotas of organisations.
   /// Whether the other VMs may have removed this VM from the fleet without its
   /// knowledge, so that another VM now keeps its quotas.
@@ -299,6 +306,14 @@
   void CountReachability(const ServerState& server,
                          AttemptEnd end,
                          TimePoint now);
+  /// Records whether the end of an attempt shows that this VM reaches servers.
+  void CountReach(const std::string& instance,
+                  const AttemptReport& report,
+                  TimePoint now);
+  /// Starts the probes that are due.
+  void ProbeServers(TimePoint now);
+  /// Usable servers, preferably in different failure domains.
+  std::vector<std::shared_ptr<ServerState>> ServersToProbe(size_t count) const;
   /// Limits on how far the service's split may shift, so that the splits of all
   /// services stay close to each other.
   MovedAwayBounds ShiftBounds(const SteeredService& moving,
@@ -358,6 +373,9 @@
   NoticeArchive m_notice_archive;
   bool m_may_be_replaced = false;
   ReturnEstimate m_returns;
+  ReachMonitor m_reach;
+  /// Instance of the last server that was probed for its reach.
+  std::string m_last_probed;
   CrashRegister m_crashes;
   /// By the server's instance.
   std::map<std::string, std::vector<PendingCrashCheck>> m_pending_crash_checks;
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -186,6 +186,7 @@
                         static_cast<double>(failures)});
   }
   CountReachability(server, report.m_end, now);
+  CountReach(instance, report, now);
 }
 
 void Steering::ApplyNotices(const ServerState& server,
--- /dev/null
+++ b/tests/reach_monitor_test.cc
@@ -0,0 +1,136 @@
+/// @file reach_monitor_test.cc Detecting that a VM reaches no backend server.
+
+#include "steer/reach_monitor.h"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+
+#include "tests/steering_fixture.h"
+
+namespace sorrelplank {
+namespace {
+
+/// Four servers in three failure domains; the fixture's two count as well.
+struct ReachFixture : SteeringFixture {
+  ReachFixture() {
+    PutServer("c", "d3");
+    PutServer("d", "d3");
+  }
+
+  void SendAndEnd(AttemptEnd end, bool is_new_connection) {
+    const size_t before = Count<SendToServer>();
+    Arrive("/read/x", m_next);
+    AttemptReport report;
+    report.m_end = end;
+    report.m_is_new_connection = is_new_connection;
+    while (Count<SendToServer>() > before && m_steering.Running() > 0) {
+      const SendToServer send = *Last<SendToServer>();
+      m_steering.Ended(send.m_request, send.m_attempt, report, m_now);
+    }
+  }
+
+  /// Ends all probes that were started; returns how many.
+  size_t EndProbes(bool is_reached) {
+    const size_t started = Count<ProbeServerReach>() - m_ended_probes;
+    m_ended_probes += started;
+    for (size_t probe = 0; probe < started; ++probe) {
+      m_steering.ReachProbed(is_reached);
+    }
+    return started;
+  }
+
+  void LoseServers() {
+    SendAndEnd(AttemptEnd::kNotSent, true);
+    SendAndEnd(AttemptEnd::kNotSent, true);
+    Pass(milliseconds(20));
+    EndProbes(false);
+  }
+
+  size_t m_ended_probes = 0;
+};
+
+std::unique_ptr<ReachFixture> g_fixture;
+
+void SetUp() {
+  g_fixture = std::make_unique<ReachFixture>();
+}
+
+void TearDown() {
+  g_fixture.reset();
+}
+
+TestSuite(ReachMonitor, .init = SetUp, .fini = TearDown);
+
+Test(ReachMonitor, SendsAndProbesFail_NoServerIsWithinReach) {
+  g_fixture->LoseServers();
+  cr_assert(!g_fixture->m_steering.ReachesServers());
+  cr_assert_str_eq(g_fixture->Last<StateChanged>()->m_event,
+                   "servers_out_of_reach");
+}
+
+Test(ReachMonitor, SendsFail_OneProbeReaches_ServersAreWithinReach) {
+  g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
+  g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
+  g_fixture->Pass(milliseconds(20));
+  g_fixture->m_steering.ReachProbed(true);
+  for (int probe = 1; probe < 4; ++probe) {
+    g_fixture->m_steering.ReachProbed(false);
+  }
+  cr_assert(g_fixture->m_steering.ReachesServers());
+}
+
+// New connections are refused while open ones live on: their responses must not
+// count as reach.
+Test(ReachMonitor, OnlyOpenConnectionsRespond_NoServerIsWithinReach) {
+  g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
+  g_fixture->SendAndEnd(AttemptEnd::kAnswered, false);
+  g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
+  g_fixture->SendAndEnd(AttemptEnd::kAnswered, false);
+  g_fixture->Pass(milliseconds(20));
+  g_fixture->EndProbes(false);
+  cr_assert(!g_fixture->m_steering.ReachesServers());
+}
+
+Test(ReachMonitor, NoServerIsWithinReach_ProbeReaches_ServersAreBack) {
+  g_fixture->LoseServers();
+  g_fixture->Pass(seconds(1));
+  cr_assert_eq(g_fixture->EndProbes(true), 1);
+  cr_assert(g_fixture->m_steering.ReachesServers());
+}
+
+Test(ReachMonitor, FirstRound_ProbesAreInDifferentFailureDomains) {
+  g_fixture->PutServer("e", "d1");
+  g_fixture->PutServer("f", "d1");
+  g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
+  g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
+  g_fixture->Pass(milliseconds(20));
+  std::set<std::string> servers;
+  for (const SteerAction& action : g_fixture->m_actions) {
+    if (const auto* probe = std::get_if<ProbeServerReach>(&action)) {
+      servers.insert(probe->m_instance);
+    }
+  }
+  cr_assert_eq(servers.size(), 4);
+  cr_assert(servers.contains("b"));
+  cr_assert(servers.contains("c") || servers.contains("d"));
+}
+
+Test(ReachMonitor, OneServerFails_NothingIsProbed) {
+  for (int request = 0; request < 5; ++request) {
+    g_fixture->m_steering.Arrived(
+        {RequestId(1000 + request), "h", "/read/x", 1, seconds(5)},
+        g_fixture->m_now);
+    const SendToServer send = *g_fixture->Last<SendToServer>();
+    AttemptReport report;
+    report.m_end =
+        send.m_instance == "a" ? AttemptEnd::kNotSent : AttemptEnd::kAnswered;
+    g_fixture->m_steering.Ended(send.m_request, send.m_attempt, report,
+                                g_fixture->m_now);
+    g_fixture->Pass(milliseconds(100));
+  }
+  cr_assert_eq(g_fixture->Count<ProbeServerReach>(), 0);
+}
+
+}  // namespace
+}  // namespace sorrelplank
