--- a/soak/edge_child.h
+++ b/soak/edge_child.h
@@ -36,6 +36,8 @@
   /// Reports whether the process has ended since the last call; does not wait.
   ChildExit Poll();
   bool IsRunning() const { return m_pid > 0; }
+  /// Not positive unless the process runs.
+  pid_t Pid() const { return m_pid; }
 
  private:
   uintmax_t LogBytes() const;
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -41,6 +41,15 @@
   }
 }
 
+void FaultProxy::ResetCut() {
+  const auto links = m_links;
+  for (const auto& link : links) {
+    if (link->IsCut()) {
+      link->Reset();
+    }
+  }
+}
+
 void FaultProxy::Accept() {
   m_acceptor.async_accept(
       [this](std::error_code error, asio::ip::tcp::socket socket) {
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -5,9 +5,11 @@
 
 #include <asio.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "core/time_type.h"
 
@@ -48,6 +50,16 @@
   /// Resets all open connections.
   void ResetAll();
 
+  /// Whether a connection is cut: `caller` is the caller's endpoint, `listener`
+  /// the one that it connected to.
+  using CutFilter =
+      std::function<bool(const asio::ip::tcp::endpoint& caller,
+                         const asio::ip::tcp::endpoint& listener)>;
+  /// From now on new connections that match are reset.
+  void SetCutFilter(CutFilter filter) { m_is_cut = std::move(filter); }
+  /// Resets the open connections that match the filter.
+  void ResetCut();
+
  private:
   friend class ProxyLink;
 
@@ -59,6 +71,7 @@
   std::set<std::shared_ptr<ProxyLink>> m_links;
   LinkFault m_fault = LinkFault::kNone;
   Duration m_delay{};
+  CutFilter m_is_cut;
 };
 
 }  // namespace sorrelplank::soak
--- a/soak/ledger.cc
+++ b/soak/ledger.cc
@@ -19,6 +19,7 @@
 void Ledger::RecordSent(const std::string& id, CallerRequest request) {
   ++m_counts.m_sent;
   request.m_sent_sequence = m_next_sequence++;
+  request.m_sent_time = SteadyNow();
   m_requests[id] = std::move(request);
 }
 
@@ -27,6 +28,22 @@
   return it == m_requests.end() ? nullptr : &it->second;
 }
 
+ServedCounts Ledger::CountServed(const std::set<std::string>& vms,
+                                 TimePoint from,
+                                 TimePoint until) const {
+  ServedCounts counts;
+  for (const auto& [id, request] : m_requests) {
+    const bool is_counted = vms.contains(request.m_vm) &&
+                            request.m_sent_time >= from &&
+                            request.m_sent_time < until;
+    if (is_counted) {
+      ++counts.m_sent;
+      counts.m_success += request.m_end == CallerOutcome::kSuccess ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
 std::string Ledger::ResponseBody(const std::string& id,
                                  const std::string& path) {
   return "answer to " + id + " on " + path;
--- a/soak/ledger.h
+++ b/soak/ledger.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,7 @@
   /// Sequence numbers of its sending and its end among all sends and ends.
   uint64_t m_sent_sequence = 0;
   uint64_t m_end_sequence = 0;
+  TimePoint m_sent_time{};
   TimePoint m_end_time{};
 };
 
@@ -69,6 +71,12 @@
   size_t m_runs = 0;
 };
 
+/// Requests sent within a span of time, and those of them that succeeded.
+struct ServedCounts {
+  size_t m_sent = 0;
+  size_t m_success = 0;
+};
+
 /// Checks, on each event, the guarantees without a time bound. Each breach is
 /// kept as a line of text for the report.
 class Ledger {
@@ -92,6 +100,10 @@
   const std::vector<std::string>& Breaches() const { return m_breaches; }
   const LedgerCounts& Counts() const { return m_counts; }
   const CallerRequest* Find(const std::string& id) const;
+  /// Counts the requests sent to these VMs from `from` until `until`.
+  ServedCounts CountServed(const std::set<std::string>& vms,
+                           TimePoint from,
+                           TimePoint until) const;
 
  private:
   void CheckGuarantee(const std::string& id, const CallerRequest& request);
--- a/soak/proxy_link.cc
+++ b/soak/proxy_link.cc
@@ -23,7 +23,7 @@
     : m_proxy(proxy), m_caller(std::move(caller)), m_target(proxy.m_io) {}
 
 void ProxyLink::Start() {
-  if (m_proxy.m_fault == LinkFault::kRefuse) {
+  if (m_proxy.m_fault == LinkFault::kRefuse || IsCut()) {
     Reset();
     return;
   }
@@ -38,6 +38,15 @@
                          });
 }
 
+bool ProxyLink::IsCut() const {
+  if (!m_proxy.m_is_cut) {
+    return false;
+  }
+  std::error_code error;
+  const auto caller = m_caller.remote_endpoint(error);
+  return !error && m_proxy.m_is_cut(caller, m_caller.local_endpoint());
+}
+
 void ProxyLink::Read(Direction& direction) {
   direction.m_from.async_read_some(asio::buffer(direction.m_buffer),
                                    [self = shared_from_this(), &direction](
--- a/soak/proxy_link.h
+++ b/soak/proxy_link.h
@@ -18,6 +18,8 @@
   ProxyLink(FaultProxy& proxy, asio::ip::tcp::socket caller);
 
   void Start();
+  /// Whether the proxy's filter matches the caller's connection.
+  bool IsCut() const;
   /// Resets both connections.
   void Reset();
 
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -14,6 +14,7 @@
 #include "platform/wire_names.h"
 #include "serve/clock_func.h"
 #include "soak/soak_keys.h"
+#include "soak/socket_owner_func.h"
 
 namespace sorrelplank::soak {
 
@@ -50,6 +51,11 @@
 /// Time within which a stopped process must exit, however busy the machine is.
 constexpr Duration kMaxStopTime = seconds(20);
 constexpr Duration kPollInterval = milliseconds(20);
+/// VMs that are cut off from all servers must serve this fraction of what the
+/// others serve, or fail at most these requests, and one in so many of all.
+constexpr double kMinServedWhileCut = 2.0 / 3;
+constexpr size_t kFailuresWhileCut = 10;
+constexpr size_t kRequestsPerFailureWhileCut = 50;
 
 Duration Bound(double bound_s) {
   return std::chrono::duration_cast<Duration>(
@@ -128,11 +134,57 @@
                   m_notices.OnNotice(id, run_server, notice, ProcessOf(id),
                                      SteadyNow());
                 }}));
+        m_servers.back()->Proxy().SetCutFilter(
+            [this](const asio::ip::tcp::endpoint& caller,
+                   const asio::ip::tcp::endpoint& listener) {
+              return IsCutConnection(caller, listener);
+            });
       }
     }
   }
 }
 
+bool SoakEnvironment::IsCutConnection(
+    const asio::ip::tcp::endpoint& caller,
+    const asio::ip::tcp::endpoint& listener) const {
+  return std::any_of(m_vms.begin(), m_vms.end(), [&](const Vm& vm) {
+    return vm.m_is_cut_from_servers && vm.m_child->IsRunning() &&
+           OwnsSocket(vm.m_child->Pid(), caller, listener);
+  });
+}
+
+void SoakEnvironment::CheckServedWhileCut(TimePoint began, TimePoint ended) {
+  const TimePoint from = began + kContactTime;
+  std::set<std::string> cut;
+  std::set<std::string> others;
+  for (const Vm& vm : m_vms) {
+    if (vm.m_unstable_until < began) {
+      (vm.m_is_cut_from_servers ? cut : others).insert(vm.m_name);
+    }
+  }
+  const ServedCounts at_cut = m_ledger.CountServed(cut, from, ended);
+  const ServedCounts at_others = m_ledger.CountServed(others, from, ended);
+  const auto share = [](const ServedCounts& counts) {
+    return static_cast<double>(counts.m_success) /
+           static_cast<double>(std::max<size_t>(1, counts.m_sent));
+  };
+  const size_t failed = at_cut.m_sent - at_cut.m_success;
+  const size_t allowed =
+      kFailuresWhileCut +
+      (at_cut.m_sent + at_others.m_sent) / kRequestsPerFailureWhileCut;
+  if (share(at_cut) < kMinServedWhileCut * share(at_others) &&
+      failed > allowed) {
+    m_ledger.Breach(
+        "served while cut off", "-",
+        "is for " + std::to_string(cut.size()) +
+            " VMs that were cut off from all servers: they served " +
+            std::to_string(at_cut.m_success) + " of " +
+            std::to_string(at_cut.m_sent) + " requests, the others " +
+            std::to_string(at_others.m_success) + " of " +
+            std::to_string(at_others.m_sent));
+  }
+}
+
 SoakEnvironment::~SoakEnvironment() {
   *m_is_alive = false;
 }
@@ -281,6 +333,7 @@
   m_store.Serve(request, [](const HttpResponse&) {});
   for (Vm& vm : m_vms) {
     vm.m_store_proxy->SetFault(LinkFault::kNone);
+    vm.m_is_cut_from_servers = false;
     vm.m_child->Signal(SIGCONT);
     vm.m_is_paused = false;
   }
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,9 @@
   void ResetServer(Random& random);
   void SilenceServer(Random& random);
   void CutVmFromStore(Random& random);
+  /// Cuts a VM, or all VMs of a failure domain, off from all servers. Their
+  /// open connections to servers are reset or live on; new ones are reset.
+  void CutVmsFromServers(Random& random);
   void StoreRefuses(Random& random);
   void StoreIsSilent(Random& random);
   void StoreIsSlow(Random& random);
@@ -99,6 +103,7 @@
     std::string m_ip;
     std::unique_ptr<EdgeChild> m_child;
     std::unique_ptr<FaultProxy> m_store_proxy;
+    bool m_is_cut_from_servers = false;
     /// The soak stopped or killed it; it is restarted after its exit.
     bool m_is_exit_expected = false;
     bool m_is_paused = false;
@@ -131,6 +136,13 @@
   void TakeServerDown(SoakServer& server, Duration down);
   void OnCrash(const std::string& id, SoakServer& server);
   void SendCrashingRequest(const std::string& path, int attempt, uint64_t seed);
+  /// Whether a VM that is cut off from the servers holds the connection.
+  bool IsCutConnection(const asio::ip::tcp::endpoint& caller,
+                       const asio::ip::tcp::endpoint& listener) const;
+  /// Checks that callers of the VMs that were cut off from all servers were
+  /// served about as well as those of the others. VMs with another disturbance
+  /// do not count.
+  void CheckServedWhileCut(TimePoint began, TimePoint ended);
   void OnAttemptResult(const std::string& id, const HttpResult& result);
   CallerTarget PickTarget();
   /// Address for callers' requests, "IP:PORT".
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -34,6 +34,8 @@
 /// A server that a request crashed, or that announced its leaving, restarts
 /// this long after its end.
 constexpr Duration kRestartDelay = seconds(3);
+/// Requests sent this long before a check may still be unanswered.
+constexpr Duration kAnswerTime = milliseconds(500);
 /// How often a crashing request is sent.
 constexpr int kCrashingAttempts = 16;
 /// Time after which all VMs know of an entry and of its successor, also VMs
@@ -374,6 +376,35 @@
   });
 }
 
+void SoakEnvironment::CutVmsFromServers(Random& random) {
+  const bool is_cut_now =
+      std::any_of(m_vms.begin(), m_vms.end(),
+                  [](const Vm& vm) { return vm.m_is_cut_from_servers; });
+  if (is_cut_now) {
+    return;
+  }
+  const Vm& first = RandomVm(random);
+  const bool is_whole_domain = random() % 2 == 0;
+  for (Vm& vm : m_vms) {
+    vm.m_is_cut_from_servers =
+        vm.m_name == first.m_name ||
+        (is_whole_domain && vm.m_domain == first.m_domain);
+  }
+  const bool resets_open_connections = random() % 2 == 0;
+  if (resets_open_connections) {
+    for (const auto& server : m_servers) {
+      server->Proxy().ResetCut();
+    }
+  }
+  const TimePoint began = SteadyNow();
+  ScheduleAfter(RandomDuration(random, seconds(6), seconds(10)), [this, began] {
+    CheckServedWhileCut(began, SteadyNow() - kAnswerTime);
+    for (Vm& vm : m_vms) {
+      vm.m_is_cut_from_servers = false;
+    }
+  });
+}
+
 void SoakEnvironment::StoreFault(const std::string& faults, Duration time) {
   HttpRequest request;
   request.m_path = "/v1/fault";
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -38,6 +38,7 @@
     {"reset_server", false, &SoakEnvironment::ResetServer},
     {"silence_server", false, &SoakEnvironment::SilenceServer},
     {"cut_vm_from_store", false, &SoakEnvironment::CutVmFromStore},
+    {"cut_vms_from_servers", false, &SoakEnvironment::CutVmsFromServers},
     {"store_refuses", false, &SoakEnvironment::StoreRefuses},
     {"store_is_silent", false, &SoakEnvironment::StoreIsSilent},
     {"store_is_slow", false, &SoakEnvironment::StoreIsSlow},
@@ -74,6 +75,8 @@
   bool m_checks_times = false;
   bool m_only_planned = false;
   bool m_is_verbose = false;
+  /// Name of the only kind of fault; empty for all.
+  std::string m_only;
 };
 
 /// One run with one seed: start, faults, recovery, report.
@@ -113,7 +116,11 @@
   void ApplyRandomFault() {
     std::vector<const FaultKind*> kinds;
     for (const FaultKind& kind : kKinds) {
-      if (kind.m_is_planned || !m_options.m_only_planned) {
+      const bool is_chosen =
+          m_options.m_only.empty()
+              ? kind.m_is_planned || !m_options.m_only_planned
+              : m_options.m_only == kind.m_name;
+      if (is_chosen) {
         kinds.push_back(&kind);
       }
     }
@@ -203,6 +210,13 @@
                          "that does nothing else",
                          line);
   TCLAP::SwitchArg planned("", "planned", "only planned work, no faults", line);
+  std::vector<std::string> names;
+  for (const FaultKind& kind : kKinds) {
+    names.emplace_back(kind.m_name);
+  }
+  TCLAP::ValuesConstraint<std::string> allowed(names);
+  TCLAP::ValueArg<std::string> only("", "only", "only this kind of fault",
+                                    false, "", &allowed, line);
   TCLAP::SwitchArg verbose("", "verbose", "print each fault", line);
   line.parse(argc, argv);
   uint64_t failed_runs = 0;
@@ -213,7 +227,8 @@
                                      .m_length = seconds(length.getValue()),
                                      .m_checks_times = timed.getValue(),
                                      .m_only_planned = planned.getValue(),
-                                     .m_is_verbose = verbose.getValue()});
+                                     .m_is_verbose = verbose.getValue(),
+                                     .m_only = only.getValue()});
     failed_runs += has_passed ? 0 : 1;
   }
   std::cout << "soak: " << runs.getValue() << " runs, " << failed_runs
