Pass requests on to other VMs while no backend server is within reach

What callers saw: entry VMs that had lost their paths to all servers refused nearly every request for 13 s (3 of 133 first attempts served, the others 1044 of 1050; 225 of 356 where open connections lived on), although other VMs would have been answered at once.

Cause: a VM could only send a request to a server itself. Class: fitness to serve was taken from the process and its entry in the store, never from whether what it is for still works.

Ruled out: that leaving the directory would do (callers keep an answer for up to 6 s, and open connections; the bound is 4 s). That breakers should have told: any answer on an open connection closed them, and they know single domains.

Change: once sends to two servers and probes in four failure domains have failed, requests go to another entry VM at an address of its own, one hop only, with the time left, the servers left and the table's version. A write lost between the two VMs is never sent again. Tokens and the retry budget are counted at the first VM. Shares of regions do not change meanwhile, and the breakers and ejections of that time end with it. With no VM left the request is refused at once.

Why it holds: the decision rests on new connections only, so that neither silence, resets nor open connections that live on hide it, and an outage of a service or a region alone leaves a probe that succeeds. Not covered: a cut of single services or regions.

--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -38,6 +38,7 @@
 constexpr uint16_t kExchangePort = 8084;
 constexpr uint16_t kFeedPort = 8085;
 constexpr uint16_t kQuotaPort = 8086;
+constexpr uint16_t kPeerPort = 8087;
 constexpr uint16_t kServerPort = 8090;
 /// Time bounds in the entry VMs' settings, in seconds.
 constexpr double kConfigApplyS = 2.5;
@@ -220,6 +221,7 @@
       {"exchange_address", AddressText(vm.m_ip, kExchangePort)},
       {"feed_address", AddressText(vm.m_ip, kFeedPort)},
       {"quota_address", AddressText(vm.m_ip, kQuotaPort)},
+      {"peer_address", AddressText(vm.m_ip, kPeerPort)},
       {"store_address", AddressText(vm.m_ip, kStoreProxyPort)},
       {"shortest_lease_s", 1},
       {"longest_ttl_s", 5},
--- a/src/proxy/edge_settings_type.h
+++ b/src/proxy/edge_settings_type.h
@@ -37,6 +37,9 @@
   /// UDP address on which entry VMs request quota tokens from each other; all
   /// of them use the same port.
   VmAddress m_quota_address;
+  /// Listening address for requests that other entry VMs pass on; all of them
+  /// use the same port.
+  VmAddress m_peer_address;
   /// Address of the platform's store.
   VmAddress m_store_address;
   /// Shortest lease lifetime that the store grants.
--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -51,6 +51,11 @@
                      .Help("Second attempts beside one in flight, by event")
                      .Labels(m_labels)
                      .Register(m_registry)),
+        m_peer_sends(prom::BuildCounter()
+                         .Name("sorrelplank_peer_sends_total")
+                         .Help("Requests passed on to other entry VMs, by end")
+                         .Labels(m_labels)
+                         .Register(m_registry)),
         m_returning(prom::BuildCounter()
                         .Name("sorrelplank_returning_requests_total")
                         .Help("Requests that were rejected before, by outcome")
@@ -84,6 +89,7 @@
   prom::Family<prom::Counter>& m_sends;
   prom::Family<prom::Counter>& m_second_choices;
   prom::Family<prom::Counter>& m_hedges;
+  prom::Family<prom::Counter>& m_peer_sends;
   prom::Family<prom::Counter>& m_returning;
   prom::Family<prom::Gauge>& m_gauges;
   prom::Family<prom::Gauge>& m_store_calls;
@@ -116,6 +122,10 @@
   m_impl->m_hedges.Add({{"event", event}}).Increment();
 }
 
+void ProxyMetrics::CountPeerSend(const char* end) {
+  m_impl->m_peer_sends.Add({{"end", end}}).Increment();
+}
+
 void ProxyMetrics::CountAttempt(const char* end, Duration time) {
   m_impl->m_attempts.Add({{"end", end}}, kLatencyBuckets)
       .Observe(ToMilliseconds(time) / 1000);
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -78,6 +78,9 @@
   /// Counts an event of a hedge: "sent", or "answered_first" if its response
   /// came before that of the first attempt.
   void CountHedge(const char* event);
+  /// Counts the end of a request that was passed on to another entry VM:
+  /// "answered", "not_sent", "lost", or the name of that VM's refusal.
+  void CountPeerSend(const char* end);
   /// Records the end of one send and its duration.
   void CountAttempt(const char* end, Duration time);
 
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -10,9 +10,11 @@
 #include <memory>
 #include <utility>
 
+#include "config/field_check.h"
 #include "proxy/caller_key_func.h"
 #include "proxy/decision_log.h"
 #include "proxy/forwarded_fields_func.h"
+#include "proxy/peer_fields_func.h"
 #include "proxy/proxy_metrics.h"
 #include "proxy/reply_classifier_func.h"
 #include "proxy/server_connection.h"
@@ -27,6 +29,9 @@
 constexpr size_t kMaxResponseBytes = 16U << 20U;
 /// Used if a client states no valid deadline; routes have their own timeouts.
 constexpr Duration kDefaultDeadline = seconds(60);
+/// Marks the number of a connection of another entry VM: the servers for
+/// clients and for entry VMs both count from one.
+constexpr uint64_t kPeerConnection = uint64_t{1} << 63U;
 /// How long a connection that probes the reach of a server must stay open. What
 /// cuts a VM off may accept its connections first and reset them then.
 constexpr Duration kReachProbeHold = milliseconds(50);
@@ -104,12 +109,35 @@
     RejectMalformed(reply, 413, "body too large");
     return;
   }
+  Begin(std::move(request), std::move(reply), std::nullopt);
+}
+
+void RequestProxy::AcceptPassedOn(HttpRequest request, HttpReply reply) {
+  if (!request.Header(m_names.m_request_id) || !request.Header("host")) {
+    RejectMalformed(reply, 400, "request id and host are required");
+    return;
+  }
+  request.m_connection |= kPeerConnection;
+  const PassedOnTerms terms = ParsePassedOnTerms(request);
+  Begin(std::move(request), std::move(reply), terms);
+}
+
+void RequestProxy::PeerClosed(uint64_t connection) {
+  ClientClosed(connection | kPeerConnection);
+}
+
+void RequestProxy::Begin(HttpRequest request,
+                         HttpReply reply,
+                         std::optional<PassedOnTerms> passed_on) {
+  const RoutingTable* table = m_steering.Table();
+  const std::string id = *request.Header(m_names.m_request_id);
   RequestFacts facts;
   facts.m_request = RequestId(m_next_request++);
-  facts.m_host = *host;
+  facts.m_host = *request.Header("host");
   facts.m_path = request.m_path;
   facts.m_time_left = ParseTimeLeft(request.Header(m_names.m_deadline_ms));
-  facts.m_object = HashOf(request.Header(m_names.m_object).value_or(*id));
+  facts.m_object = HashOf(request.Header(m_names.m_object).value_or(id));
+  facts.m_passed_on = passed_on;
   if (const auto credentials = request.Header(m_names.m_credentials)) {
     facts.m_key = ParseBearerKey(*credentials);
   }
@@ -120,7 +148,8 @@
   auto held = m_bodies.Reserve({.m_head_bytes = HeadBytes(request),
                                 .m_body_bytes = request.m_body.size()},
                                m_open_requests.size());
-  open.m_id = *id;
+  open.m_id = id;
+  open.m_is_passed_on = passed_on.has_value();
   open.m_digest = facts.m_digest;
   open.m_request = std::move(request);
   open.m_reply = std::move(reply);
@@ -134,7 +163,7 @@
     RefuseRequest refusal;
     refusal.m_request = facts.m_request;
     refusal.m_reason = SteerRefusal::kNoMemory;
-    refusal.m_retry_after = BodyBudget::RetryAfter(HashOf(*id));
+    refusal.m_retry_after = BodyBudget::RetryAfter(HashOf(id));
     refusal.m_table_version = table == nullptr ? 0 : table->m_version;
     Handle(refusal);
     return;
@@ -197,7 +226,7 @@
   for (const auto& [name, value] : request.m_headers) {
     const bool is_hidden =
         action.m_strips_key && IsCallerIdentityField(name, m_names);
-    if (IsForwardedField(name, m_names) && !is_hidden) {
+    if (IsForwardedField(name, m_names) && !IsPeerField(name) && !is_hidden) {
       bytes += fmt::format("{}: {}\r\n", name, value);
     }
   }
@@ -218,6 +247,80 @@
   return bytes;
 }
 
+std::string RequestProxy::SerializeForPeer(const OpenRequest& open,
+                                           const SendToPeer& action) const {
+  const HttpRequest& request = open.m_request;
+  std::string bytes =
+      fmt::format("{} {} HTTP/1.1\r\n", request.m_method, request.m_target);
+  for (const auto& [name, value] : request.m_headers) {
+    if (IsForwardedField(name, m_names) && !IsPeerField(name)) {
+      bytes += fmt::format("{}: {}\r\n", name, value);
+    }
+  }
+  bytes += FormatPassedOnTerms(action.m_terms);
+  bytes += fmt::format(
+      "{}: {}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+      m_names.m_deadline_ms, std::max<int64_t>(1, LogMs(action.m_time_left)),
+      request.m_body.size());
+  bytes += request.m_body;
+  return bytes;
+}
+
+void RequestProxy::Handle(const SendToPeer& action) {
+  OpenRequest& open = m_open_requests.at(action.m_request);
+  m_log.Write(
+      "send_to_vm",
+      {{"request", open.m_id},
+       {"attempt", static_cast<int64_t>(action.m_attempt.Get())},
+       {"to", action.m_vm},
+       {"waited_ms", LogMs(action.m_waited)},
+       {"time_left_ms", LogMs(action.m_time_left)},
+       {"config", static_cast<int64_t>(action.m_terms.m_table_version)}});
+  ServerRequest send;
+  send.m_bytes = SerializeForPeer(open, action);
+  send.m_request_id = open.m_id;
+  send.m_request_id_name = m_names.m_request_id;
+  send.m_is_head = open.m_request.m_method == "HEAD";
+  send.m_max_response_bytes = kMaxResponseBytes;
+  send.m_held = m_bodies.ForResponse();
+  // An address that does not parse is not connected to, so that the send ends
+  // as not sent.
+  VmAddress address;
+  ParseAddress(action.m_client_address, address.m_ip, address.m_port);
+  address.m_port = m_peer_port;
+  m_pool.Send(action.m_attempt,
+              {.m_instance = "vm " + action.m_vm, .m_address = address},
+              std::move(send),
+              [this, request = action.m_request,
+               attempt = action.m_attempt](ServerReply reply) {
+                OnPeerSendEnded(request, attempt, std::move(reply));
+              });
+}
+
+void RequestProxy::OnPeerSendEnded(RequestId request,
+                                   AttemptId attempt,
+                                   ServerReply reply) {
+  const PeerReport report = ClassifyPeerReply(reply);
+  const char* const outcome =
+      report.m_refusal ? DescribeSteerRefusal(*report.m_refusal).m_name
+                       : PeerEndName(report.m_end);
+  m_metrics.CountPeerSend(outcome);
+  const auto it = m_open_requests.find(request);
+  if (it == m_open_requests.end()) {
+    return;
+  }
+  m_log.Write("send_to_vm_ended",
+              {{"request", it->second.m_id},
+               {"attempt", static_cast<int64_t>(attempt.Get())},
+               {"end", outcome},
+               {"status", int64_t{reply.m_response.m_status}},
+               {"problem", reply.m_problem},
+               {"latency_ms", LogMs(reply.m_latency)}});
+  it->second.m_server_response = std::move(reply.m_response);
+  it->second.m_response_held = std::move(reply.m_held);
+  m_steering.PeerEnded(request, attempt, report, SteadyNow());
+}
+
 void RequestProxy::Handle(const SendToServer& action) {
   OpenRequest& open = m_open_requests.at(action.m_request);
   open.m_is_returning = action.m_is_returning;
@@ -235,6 +338,7 @@
                {"hedge", int64_t{action.m_is_hedge ? 1 : 0}},
                {"time_left_ms", LogMs(action.m_time_left)},
                {"returning", int64_t{action.m_is_returning ? 1 : 0}},
+               {"passed_on", int64_t{open.m_is_passed_on ? 1 : 0}},
                {"config", static_cast<int64_t>(action.m_table_version)}});
   m_metrics.CountSend(action.m_service, action.m_region);
   if (action.m_is_second_choice) {
@@ -306,7 +410,7 @@
   std::erase_if(answer.m_headers, [this](const auto& field) {
     return IsHopByHopField(field.first) || field.first == m_names.m_load ||
            field.first == m_names.m_instance ||
-           field.first == m_names.m_not_run;
+           field.first == m_names.m_not_run || IsPeerField(field.first);
   });
   Respond(action.m_request, std::move(answer), "forwarded");
 }
@@ -341,6 +445,9 @@
   HttpResponse response;
   response.m_status = row.m_status;
   response.m_headers.emplace_back(m_names.m_request_id, open.m_id);
+  if (open.m_is_passed_on) {
+    response.m_headers.emplace_back(kPeerRefusalField, row.m_name);
+  }
   if (row.m_status == 401) {
     response.m_headers.emplace_back("WWW-Authenticate", "Bearer");
   }
@@ -388,7 +495,8 @@
       [this, instance = action.m_instance](ServerReach reach) {
         m_log.Write("server_probed",
                     {{"server", instance}, {"reach", ServerReachName(reach)}});
-        m_steering.ReachProbed(reach == ServerReach::kAcceptsConnections);
+        m_steering.ReachProbed(reach == ServerReach::kAcceptsConnections,
+                               SteadyNow());
       });
 }
 
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -58,6 +59,12 @@
   void Accept(HttpRequest request, HttpReply reply);
   /// Cancels all requests of a connection that the client closed.
   void ClientClosed(uint64_t connection);
+  /// The same for a request that another entry VM passed on, and for its
+  /// connection.
+  void AcceptPassedOn(HttpRequest request, HttpReply reply);
+  void PeerClosed(uint64_t connection);
+  /// Port at which all entry VMs accept passed-on requests.
+  void SetPeerPort(uint16_t port) { m_peer_port = port; }
   /// Runs the periodic work of steering and of the connection pool.
   void Tick();
 
@@ -81,6 +88,8 @@
     BodyReservation m_held;
     /// Recognised as sent before and rejected.
     bool m_is_returning = false;
+    /// Another entry VM passed it on.
+    bool m_is_passed_on = false;
     /// Response of the last send that ended.
     HttpResponse m_server_response;
     BodyReservation m_response_held;
@@ -88,6 +97,7 @@
 
   void Dispatch(const SteerAction& action);
   void Handle(const SendToServer& action);
+  void Handle(const SendToPeer& action);
   void Handle(const CancelSend& action);
   void Handle(const ForwardServerAnswer& action);
   void Handle(const RefuseRequest& action);
@@ -102,10 +112,18 @@
   void Handle(const CrashesDropped& action);
   void Handle(const SendQuotaRequest& action);
 
+  /// Hands a well-formed request to the steering decisions.
+  void Begin(HttpRequest request,
+             HttpReply reply,
+             std::optional<PassedOnTerms> passed_on);
   /// Determines the caller from the routing table in force.
   CallerIdentity IdentifyCaller(const RequestFacts& facts) const;
   std::string SerializeRequest(const OpenRequest& open,
                                const SendToServer& action) const;
+  /// The request as it is passed on to another entry VM.
+  std::string SerializeForPeer(const OpenRequest& open,
+                               const SendToPeer& action) const;
+  void OnPeerSendEnded(RequestId request, AttemptId attempt, ServerReply reply);
   void OnSendEnded(RequestId request, AttemptId attempt, ServerReply reply);
   void Respond(RequestId request, HttpResponse response, const char* outcome);
   void RejectMalformed(const HttpReply& reply, int status, const char* problem);
@@ -118,6 +136,7 @@
   Steering m_steering;
   CrashUpdateHandler m_on_crash_update = [](const CrashUpdate&) {};
   QuotaRequestSender m_send_quota_request = [](const AddressedQuotaRequest&) {};
+  uint16_t m_peer_port = 0;
   uint64_t m_next_request = 1;
   SeenResponseFields m_response_fields;
   bool m_is_stopping = false;
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -108,6 +108,9 @@
     return m_breakers[domain];
   }
 
+  /// Closes the breakers of all failure domains.
+  void ResetBreakers() { m_breakers.clear(); }
+
   Choice Pick(RegionServers& servers,
               const ServiceRules& rules,
               const PickCriteria& criteria,
--- a/src/steer/server_state.h
+++ b/src/steer/server_state.h
@@ -91,6 +91,12 @@
   uint32_t InFlight() const { return m_own_in_flight; }
   /// Number of consecutive failed attempts.
   uint32_t FailuresInRow() const { return m_failures_in_row; }
+  /// Ends an ejection, since the failures were not the server's.
+  void ForgetFailures() {
+    m_failures_in_row = 0;
+    m_ejected_until = TimePoint();
+    m_failures = 0;
+  }
   /// Whether the server probably has the object cached, since this VM recently
   /// sent it a request for the object.
   bool IsWarmFor(uint64_t object, TimePoint now) const;
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -14,6 +14,7 @@
 #include "core/vm_record_type.h"
 #include "steer/admission.h"
 #include "steer/crash_record_type.h"
+#include "steer/passed_on_terms_type.h"
 #include "steer/quota_message_type.h"
 #include "steer/steer_refusal_type.h"
 
@@ -55,6 +56,20 @@
   bool m_is_returning = false;
 };
 
+/// Pass a request on to another entry VM, which sends it to a server; the
+/// result is passed to PeerEnded.
+struct SendToPeer {
+  RequestId m_request;
+  AttemptId m_attempt;
+  std::string m_vm;
+  /// Its address for client connections, "IP:PORT".
+  std::string m_client_address;
+  Duration m_time_left{};
+  PassedOnTerms m_terms;
+  /// Time since arrival, for logs.
+  Duration m_waited{};
+};
+
 /// Cancel an attempt: its connection is closed, which ends the work at the
 /// server.
 struct CancelSend {
@@ -169,6 +184,7 @@
 };
 
 using SteerAction = std::variant<SendToServer,
+                                 SendToPeer,
                                  CancelSend,
                                  ForwardServerAnswer,
                                  RefuseRequest,
--- a/src/steer/steer_refusal_type.h
+++ b/src/steer/steer_refusal_type.h
@@ -5,6 +5,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 #include "core/verdict_type.h"
 
@@ -42,6 +44,9 @@
   Verdict m_verdict;
 };
 
+/// The reason of this name, if there is one.
+std::optional<SteerRefusal> FindSteerRefusal(std::string_view name);
+
 /// The row of a reason.
 const SteerRefusalRow& DescribeSteerRefusal(SteerRefusal reason);
 
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -13,6 +13,7 @@
 #include "core/ids_type.h"
 #include "core/request_digest_type.h"
 #include "core/time_type.h"
+#include "steer/passed_on_terms_type.h"
 #include "steer/region_shares.h"
 
 namespace sorrelplank {
@@ -58,6 +59,8 @@
   RequestDigest m_digest{};
   /// Key by which the client identifies its organisation.
   std::optional<std::string> m_key;
+  /// Set if another entry VM, which reaches no server, passed the request on.
+  std::optional<PassedOnTerms> m_passed_on{};
 };
 
 /// An attempt that has not ended.
@@ -71,6 +74,12 @@
   bool m_is_hedge = false;
 };
 
+/// A request that was passed on to another entry VM and has not ended there.
+struct PeerAttempt {
+  AttemptId m_attempt;
+  std::string m_vm;
+};
+
 /// A request that has not ended.
 struct SteeredRequest {
   RequestFacts m_facts;
@@ -97,6 +106,9 @@
   std::vector<LiveAttempt> m_live_attempts;
   /// Instances that the request was sent to; it is not sent to them again.
   std::vector<std::string> m_tried;
+  std::optional<PeerAttempt> m_peer_attempt;
+  /// Entry VMs that the request was passed on to.
+  std::vector<std::string> m_tried_peers;
   /// Servers skipped in the last choice because they ask for no more requests;
   /// for logs.
   uint32_t m_passed_over = 0;
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -163,9 +163,8 @@
                   m_is_split_by_slots);
 }
 
-void SteeredService::CountRequest(TimePoint now) {
+void SteeredService::NoteInUse(TimePoint now) {
   m_last_request = now;
-  m_retries.CountRequest(now);
   m_shares.Start();
 }
 
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -77,8 +77,8 @@
                     Duration shortest_target,
                     TimePoint now);
 
-  /// Records the arrival of a request.
-  void CountRequest(TimePoint now);
+  /// Records that a request for the service arrived.
+  void NoteInUse(TimePoint now);
   /// Whether requests arrived recently.
   bool IsInUse(TimePoint now) const;
 
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -67,7 +67,8 @@
       m_regions(RegionsByNumber(m_settings)),
       m_picker(m_settings),
       m_quota_gate(RegionsFromOwn(m_settings)),
-      m_server_limits(m_settings.m_vm, m_settings.m_region, m_regions) {
+      m_server_limits(m_settings.m_vm, m_settings.m_region, m_regions),
+      m_peers(m_settings) {
   m_quota_gate.SetBounds(m_settings.m_quotas);
   m_quota_keeper.SetBounds(m_settings.m_quotas);
   m_own_region = RegionOf(m_settings.m_failure_domain);
@@ -189,6 +190,14 @@
 }
 
 void Steering::Admit(SteeredRequest& request, TimePoint now) {
+  const auto& passed_on = request.m_facts.m_passed_on;
+  if (passed_on && (m_picker.IsDataStale() ||
+                    m_table->m_version < passed_on->m_table_version)) {
+    // The VM that passed the request on may know of a newer configuration, and
+    // of servers that are leaving.
+    Refuse(request, SteerRefusal::kTableMayBeOld, now);
+    return;
+  }
   if (const auto refusal = Route(request)) {
     Refuse(request, *refusal, now);
     return;
@@ -202,7 +211,8 @@
     Refuse(request, SteerRefusal::kHeldBack, now);
     return;
   }
-  if (HasLimit(request.m_organisation) && !request.m_has_token) {
+  // The VM that passed a request on has taken its token.
+  if (HasLimit(request.m_organisation) && !request.m_has_token && !passed_on) {
     TakeToken(request, now);
   } else {
     Begin(request, now);
@@ -211,7 +221,14 @@
 
 void Steering::Begin(SteeredRequest& request, TimePoint now) {
   SteeredService& service = Service(request.m_service);
-  service.CountRequest(now);
+  service.NoteInUse(now);
+  if (request.m_facts.m_passed_on) {
+    // Counted where it arrived from its caller; the time left is not the one
+    // that the caller set.
+    Dispatch(request, now);
+    return;
+  }
+  service.Retries().CountRequest(now);
   const Duration returned_after = m_returns.Observe(
       request.m_route->m_name, request.m_facts.m_time_left, now);
   if (service.IsUneven()) {
@@ -283,6 +300,11 @@
 }
 
 void Steering::UpdateShares(TimePoint now) {
+  if (!ReachesServers()) {
+    // No region can be reached; where requests go afterwards must not depend on
+    // which one failed first.
+    return;
+  }
   for (auto& [name, service] : m_services) {
     service->UpdateShares(
         m_picker, RulesOf(name), m_settings.m_max_shift * kShiftRateFraction,
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -18,6 +18,8 @@
 #include "steer/crash_register.h"
 #include "steer/notice_archive.h"
 #include "steer/organisation_index.h"
+#include "steer/peer_picker.h"
+#include "steer/peer_report_type.h"
 #include "steer/quota_gate.h"
 #include "steer/quota_keeper.h"
 #include "steer/reach_monitor.h"
@@ -81,6 +83,11 @@
              AttemptId attempt,
              const AttemptReport& report,
              TimePoint now);
+  /// Result of a SendToPeer action.
+  void PeerEnded(RequestId request,
+                 AttemptId attempt,
+                 const PeerReport& report,
+                 TimePoint now);
   void ClientLeft(RequestId request, TimePoint now);
   /// Checks deadlines, queued requests and hedges; to be called frequently.
   void Tick(TimePoint now);
@@ -105,7 +112,7 @@
 
   // Reach of the backend servers.
   /// Result of a ProbeServerReach action.
-  void ReachProbed(bool is_reached);
+  void ReachProbed(bool is_reached, TimePoint now);
   /// Whether this VM reaches any backend server, as far as is known.
   bool ReachesServers() const { return !m_reach.IsLost(); }
 
@@ -235,6 +242,15 @@
                    TimePoint now);
   void ServeWaiting(SteeredService& service, TimePoint now);
 
+  // Requests passed on to other entry VMs.
+  /// Passes the request on to another VM; charges the retry budget if it may
+  /// have reached a server. False if that is not allowed or no VM is available.
+  bool PassOn(SteeredRequest& request, TimePoint now);
+  bool MayPassOn(SteeredRequest& request, TimePoint now);
+  /// Passes all requests on that wait for a server.
+  void PassOnWaiting(TimePoint now);
+  void CancelPeerAttempt(SteeredRequest& request, TimePoint now);
+
   // Attempts that cannot complete in time; in services with uneven capacity.
   /// Forecast for the request if it is sent to the server now.
   SendForecast ForecastAt(const SteeredRequest& request,
@@ -310,6 +326,8 @@
   void CountReach(const std::string& instance,
                   const AttemptReport& report,
                   TimePoint now);
+  /// To be called when a server was reached again after an outage.
+  void RegainServers(TimePoint now);
   /// Starts the probes that are due.
   void ProbeServers(TimePoint now);
   /// Usable servers, preferably in different failure domains.
@@ -374,6 +392,7 @@
   bool m_may_be_replaced = false;
   ReturnEstimate m_returns;
   ReachMonitor m_reach;
+  PeerPicker m_peers;
   /// Instance of the last server that was probed for its reach.
   std::string m_last_probed;
   CrashRegister m_crashes;
--- a/src/steer/steering_crashes.cc
+++ b/src/steer/steering_crashes.cc
@@ -138,7 +138,8 @@
     SteeredRequest& request = m_requests.at(id);
     // A server that has not started the request drops it with the connection,
     // but it is unknown whether it had.
-    request.m_may_have_run |= !request.m_live_attempts.empty();
+    request.m_may_have_run |=
+        !request.m_live_attempts.empty() || request.m_peer_attempt;
     CancelLiveAttempts(request, false, now);
     Refuse(request, SteerRefusal::kHeldBack, now);
   }
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -132,6 +132,7 @@
     m_sink(CancelSend{request.m_facts.m_request, live.m_attempt});
   }
   request.m_live_attempts.clear();
+  CancelPeerAttempt(request, now);
 }
 
 void Steering::EndSendsTo(const ServerState& server, TimePoint now) {
--- a/src/steer/steering_reach.cc
+++ b/src/steer/steering_reach.cc
@@ -50,19 +50,34 @@
   return servers;
 }
 
-void Steering::ReachProbed(bool is_reached) {
+void Steering::ReachProbed(bool is_reached, TimePoint now) {
   switch (m_reach.CountProbe(is_reached)) {
     case ReachMonitor::Change::kNone:
       return;
     case ReachMonitor::Change::kLost:
       m_sink(StateChanged{"servers_out_of_reach", m_settings.m_vm, 1});
+      PassOnWaiting(now);
       return;
     case ReachMonitor::Change::kRegained:
-      m_sink(StateChanged{"servers_within_reach", m_settings.m_vm, 1});
+      RegainServers(now);
       return;
   }
 }
 
+void Steering::RegainServers(TimePoint now) {
+  m_sink(StateChanged{"servers_within_reach", m_settings.m_vm, 1});
+  // The failures were not the servers'. If some counted for longer than others,
+  // objects and regions would move.
+  m_picker.ResetBreakers();
+  for (const auto& [instance, server] : m_servers) {
+    server->ForgetFailures();
+    Service(server->Entry().m_service)
+        .RegionServersOf(*server)
+        .NoteStatusChange(server.get());
+  }
+  UpdateShares(now);
+}
+
 void Steering::CountReach(const std::string& instance,
                           const AttemptReport& report,
                           TimePoint now) {
@@ -73,7 +88,7 @@
   }
   const bool is_proof = is_response && report.m_is_new_connection;
   if (is_proof && m_reach.CountResponse()) {
-    m_sink(StateChanged{"servers_within_reach", m_settings.m_vm, 1});
+    RegainServers(now);
   }
 }
 
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -35,6 +35,12 @@
 }  // namespace
 
 void Steering::Dispatch(SteeredRequest& request, TimePoint now) {
+  if (!ReachesServers()) {
+    if (!PassOn(request, now)) {
+      Refuse(request, SteerRefusal::kNoServer, now);
+    }
+    return;
+  }
   Choice choice = Choose(request, now);
   // If the server had room, the requests that already wait for it would have
   // been sent.
@@ -212,7 +218,11 @@
 }
 
 bool Steering::HasRetryLeft(const SteeredRequest& request, TimePoint now) {
-  if (request.m_started_sends >= request.m_route->m_max_sends ||
+  const auto& passed_on = request.m_facts.m_passed_on;
+  const uint32_t max_sends =
+      std::min(request.m_route->m_max_sends,
+               passed_on ? passed_on->m_max_sends : UINT32_MAX);
+  if (request.m_started_sends >= max_sends ||
       request.m_tried.size() >= kMaxTriedServers) {
     return false;
   }
@@ -377,12 +387,15 @@
                            AttemptId attempt,
                            AttemptEnd end,
                            TimePoint now) {
-  if (!request.m_live_attempts.empty()) {
+  if (!request.m_live_attempts.empty() || request.m_peer_attempt) {
+    return;
+  }
+  if (!ReachesServers() && PassOn(request, now)) {
     return;
   }
   // Checked first: MayRetry charges the retry budget.
   const bool can_finish = CanFinishSomewhere(request, now);
-  if (can_finish && MayRetry(request, now)) {
+  if (ReachesServers() && can_finish && MayRetry(request, now)) {
     Dispatch(request, now);
     return;
   }
@@ -391,6 +404,10 @@
     RemoveRequest(request.m_facts.m_request);
     return;
   }
+  if (!ReachesServers()) {
+    Refuse(request, SteerRefusal::kNoServer, now);
+    return;
+  }
   Refuse(request,
          can_finish ? SteerRefusal::kRetriesSpent : SteerRefusal::kCannotFinish,
          now);
@@ -428,7 +445,8 @@
   if (it == m_requests.end()) {
     return;
   }
-  const bool was_sent = !it->second.m_tried.empty();
+  const bool was_sent =
+      !it->second.m_tried.empty() || !it->second.m_tried_peers.empty();
   if (!was_sent) {
     ReturnToken(it->second, now);
   }
@@ -450,7 +468,8 @@
     return;
   }
   if (now >= request.m_deadline) {
-    const bool runs = !request.m_live_attempts.empty();
+    const bool runs =
+        !request.m_live_attempts.empty() || request.m_peer_attempt;
     CancelLiveAttempts(request, true, now);
     Refuse(request, runs ? SteerRefusal::kTimedOut : SteerRefusal::kTooLate,
            now);
@@ -486,11 +505,11 @@
 
 void Steering::SendHedge(SteeredRequest& request, TimePoint now) {
   if (!request.m_route->m_idempotent || request.m_live_attempts.size() != 1 ||
-      IsSuspect(request, now)) {
+      request.m_peer_attempt || IsSuspect(request, now)) {
     return;
   }
   SteeredService& service = Service(request.m_service);
-  const bool is_active = service.Hedges().IsActive(now);
+  const bool is_active = ReachesServers() && service.Hedges().IsActive(now);
   if (is_active) {
     ServerState* const early = ChooseEarlyHedge(request, now);
     if (early != nullptr) {
@@ -503,8 +522,12 @@
   const Duration usual = service.Usual().m_latency;
   const Duration hedge_delay =
       std::max(kHedgeLatencyFactor * usual, request.m_route->m_target_latency);
-  if (usual == Duration::zero() ||
-      now - request.m_live_attempts.front().m_sent < hedge_delay) {
+  const Duration since_sent = now - request.m_live_attempts.front().m_sent;
+  if (!ReachesServers() && since_sent >= hedge_delay) {
+    PassOn(request, now);
+    return;
+  }
+  if (usual == Duration::zero() || since_sent < hedge_delay) {
     return;
   }
   const Choice choice = Choose(request, now);
--- a/tests/edge_settings_test.cc
+++ b/tests/edge_settings_test.cc
@@ -18,6 +18,7 @@
       "ready_address":"10.0.0.1:81", "directory_address":"10.0.0.1:82",
       "metrics_address":"10.0.0.1:83", "exchange_address":"10.0.0.1:84",
       "feed_address":"10.0.0.1:85", "quota_address":"10.0.0.1:85",
+      "peer_address":"10.0.0.1:84",
       "store_address":"10.0.0.2:80", "shortest_lease_s":1, "longest_ttl_s":5,
       "stop_grace_s":6, "config_apply_s":2, "drain_s":2, "retry_ratio":0.2,
       "retry_extra":10, "retry_window_s":10, "cold_factor":1.5, "cold_slack":5,
--- a/tests/reach_monitor_test.cc
+++ b/tests/reach_monitor_test.cc
@@ -5,51 +5,14 @@
 #include <criterion/criterion.h>
 
 #include <memory>
+#include <set>
+#include <string>
 
-#include "tests/steering_fixture.h"
+#include "tests/reach_fixture.h"
 
 namespace sorrelplank {
 namespace {
 
-/// Four servers in three failure domains; the fixture's two count as well.
-struct ReachFixture : SteeringFixture {
-  ReachFixture() {
-    PutServer("c", "d3");
-    PutServer("d", "d3");
-  }
-
-  void SendAndEnd(AttemptEnd end, bool is_new_connection) {
-    const size_t before = Count<SendToServer>();
-    Arrive("/read/x", m_next);
-    AttemptReport report;
-    report.m_end = end;
-    report.m_is_new_connection = is_new_connection;
-    while (Count<SendToServer>() > before && m_steering.Running() > 0) {
-      const SendToServer send = *Last<SendToServer>();
-      m_steering.Ended(send.m_request, send.m_attempt, report, m_now);
-    }
-  }
-
-  /// Ends all probes that were started; returns how many.
-  size_t EndProbes(bool is_reached) {
-    const size_t started = Count<ProbeServerReach>() - m_ended_probes;
-    m_ended_probes += started;
-    for (size_t probe = 0; probe < started; ++probe) {
-      m_steering.ReachProbed(is_reached);
-    }
-    return started;
-  }
-
-  void LoseServers() {
-    SendAndEnd(AttemptEnd::kNotSent, true);
-    SendAndEnd(AttemptEnd::kNotSent, true);
-    Pass(milliseconds(20));
-    EndProbes(false);
-  }
-
-  size_t m_ended_probes = 0;
-};
-
 std::unique_ptr<ReachFixture> g_fixture;
 
 void SetUp() {
@@ -73,9 +36,9 @@
   g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
   g_fixture->SendAndEnd(AttemptEnd::kNotSent, true);
   g_fixture->Pass(milliseconds(20));
-  g_fixture->m_steering.ReachProbed(true);
+  g_fixture->m_steering.ReachProbed(true, g_fixture->m_now);
   for (int probe = 1; probe < 4; ++probe) {
-    g_fixture->m_steering.ReachProbed(false);
+    g_fixture->m_steering.ReachProbed(false, g_fixture->m_now);
   }
   cr_assert(g_fixture->m_steering.ReachesServers());
 }
