Record no crashes while it is unknown whether any server is within reach

What callers would see: requests held back at all VMs although they crash no server.

Cause: a VM that loses its paths to all servers by resets sees each of them lose a request and then refuse connections, which counts as a crash of that server under that request. The records reach all VMs by the store.

Test ReachMonitor::AllServersRefuse_RequestsGotLost_NoCrashIsRecorded failed before; its counterpart TwoServersRefuse_ProbeReachesAnother_CrashesAreRecorded shows that real crashes still count.

--- a/src/steer/reach_monitor.cc
+++ b/src/steer/reach_monitor.cc
@@ -2,6 +2,8 @@
 
 #include "steer/reach_monitor.h"
 
+#include <algorithm>
+
 namespace sorrelplank {
 
 namespace {
@@ -46,7 +48,21 @@
   std::erase_if(m_failures, [now](const auto& failure) {
     return now - failure.second > kFailureWindow;
   });
-  return m_failures.size() >= kFailedServersToProbe ? kProbesToConfirm : 0;
+  return RecentFailures(now) >= kFailedServersToProbe ? kProbesToConfirm : 0;
+}
+
+size_t ReachMonitor::RecentFailures(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      m_failures.begin(), m_failures.end(), [now](const auto& failure) {
+        return now - failure.second <= kFailureWindow;
+      }));
+}
+
+bool ReachMonitor::IsUncertain(TimePoint now) const {
+  const bool is_settled = m_is_lost || m_has_reached_any;
+  return m_pending_probes > 0
+             ? !is_settled
+             : !m_is_lost && RecentFailures(now) >= kFailedServersToProbe;
 }
 
 void ReachMonitor::StartProbes(size_t count, TimePoint now) {
--- a/src/steer/reach_monitor.h
+++ b/src/steer/reach_monitor.h
@@ -42,10 +42,15 @@
   /// Counts the end of one probe of the round.
   Change CountProbe(bool is_reached);
 
+  /// Whether it is not known yet if any server is within reach: several failed
+  /// recently, and probes have not ended.
+  bool IsUncertain(TimePoint now) const;
+
   /// Whether no server is within reach.
   bool IsLost() const { return m_is_lost; }
 
  private:
+  size_t RecentFailures(TimePoint now) const;
   Change Regain();
 
   /// Time of the last failure by instance.
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -345,6 +345,7 @@
   }
   DropExpiredCrashes(now);
   ProbeServers(now);
+  SettleRefusedChecks(now);
 }
 
 }  // namespace sorrelplank
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -355,6 +355,9 @@
                  TimePoint now);
   /// Checks whether the server that lost the request has crashed.
   void CheckServer(const SteeredRequest& request, const ServerState& server);
+  /// Ends the checks of servers that refused connections, once it is known
+  /// whether this VM reaches any server.
+  void SettleRefusedChecks(TimePoint now);
   void NoteOwnCrash(const CrashReport& report, TimePoint now);
   /// Ends all requests in progress with this digest.
   void HoldBack(const RequestDigest& digest, TimePoint now);
@@ -398,6 +401,9 @@
   CrashRegister m_crashes;
   /// By the server's instance.
   std::map<std::string, std::vector<PendingCrashCheck>> m_pending_crash_checks;
+  /// Servers that refused connections, as seen by a VM that may have lost its
+  /// paths to all servers.
+  std::set<std::string> m_refused_checks;
   /// Value in 0..1 derived from the VM's name, so that the VMs remove expired
   /// crash records at different times.
   double m_removal_spread = 0;
--- a/src/steer/steering_crashes.cc
+++ b/src/steer/steering_crashes.cc
@@ -83,6 +83,15 @@
   if (it == m_pending_crash_checks.end()) {
     return;
   }
+  if (reach == ServerReach::kRefusesConnections && !ReachesServers()) {
+    reach = ServerReach::kUnknown;
+  }
+  if (reach == ServerReach::kRefusesConnections && m_reach.IsUncertain(now)) {
+    // A VM that loses its paths to all servers sees each of them lose requests
+    // and refuse connections.
+    m_refused_checks.insert(instance);
+    return;
+  }
   const std::vector<PendingCrashCheck> checks = std::move(it->second);
   m_pending_crash_checks.erase(it);
   for (const PendingCrashCheck& check : checks) {
@@ -97,6 +106,17 @@
   }
 }
 
+void Steering::SettleRefusedChecks(TimePoint now) {
+  if (m_refused_checks.empty() || m_reach.IsUncertain(now)) {
+    return;
+  }
+  std::set<std::string> refused;
+  refused.swap(m_refused_checks);
+  for (const std::string& instance : refused) {
+    ServerChecked(instance, ServerReach::kRefusesConnections, now);
+  }
+}
+
 void Steering::NoteOwnCrash(const CrashReport& report, TimePoint now) {
   const auto change = m_crashes.Add(report.m_record, Duration::zero(), now);
   if (change == CrashRegister::Change::kNone) {
--- a/tests/crash_simulation.cc
+++ b/tests/crash_simulation.cc
@@ -201,6 +201,8 @@
                       : CrashSimulationOutcome::kFailed);
   } else if (const auto* check = std::get_if<CheckServerReachable>(&action)) {
     Check(vm, *check);
+  } else if (const auto* probe = std::get_if<ProbeServerReach>(&action)) {
+    Probe(vm, *probe);
   } else if (const auto* suspected = std::get_if<RequestSuspected>(&action)) {
     ++m_suspected;
     PublishCrash(vm, suspected->m_report.m_record, true);
@@ -226,6 +228,15 @@
   });
 }
 
+void CrashSimulation::Probe(size_t vm, const ProbeServerReach& action) {
+  m_queue.After(2 * kLink, [this, vm, instance = action.m_instance] {
+    const bool is_up = std::any_of(
+        m_servers.begin(), m_servers.end(),
+        [&](const auto& one) { return one->m_instance == instance; });
+    m_vms[vm]->m_steering->ReachProbed(is_up, m_queue.Now());
+  });
+}
+
 void CrashSimulation::PublishCrash(size_t vm,
                                    const CrashRecord& record,
                                    bool counts) {
--- a/tests/crash_simulation.h
+++ b/tests/crash_simulation.h
@@ -90,6 +90,7 @@
   void Take(size_t vm, const SteerAction& action);
   void Send(size_t vm, const SendToServer& action);
   void Check(size_t vm, const CheckServerReachable& action);
+  void Probe(size_t vm, const ProbeServerReach& action);
   void PublishCrash(size_t vm, const CrashRecord& record, bool counts);
   void Cancel(size_t vm, const CancelSend& action);
   void Finish(size_t vm, RequestId request, CrashSimulationOutcome end);
--- a/tests/reach_monitor_test.cc
+++ b/tests/reach_monitor_test.cc
@@ -79,6 +79,47 @@
   cr_assert(servers.contains("c") || servers.contains("d"));
 }
 
+// A VM that loses its paths to all servers sees requests get lost and then each
+// server refuse connections. Recorded as crashes, these would hold back
+// innocent requests at all VMs.
+Test(ReachMonitor, AllServersRefuse_RequestsGotLost_NoCrashIsRecorded) {
+  for (uint64_t object = 0; object < 6; ++object) {
+    g_fixture->Arrive("/write/x", object);
+  }
+  const std::vector<SteerAction> actions = g_fixture->m_actions;
+  for (const SteerAction& action : actions) {
+    if (const auto* send = std::get_if<SendToServer>(&action)) {
+      g_fixture->End(*send, AttemptEnd::kLost);
+    }
+  }
+  for (const char* server : {"a", "b", "c", "d"}) {
+    g_fixture->m_steering.ServerChecked(
+        server, ServerReach::kRefusesConnections, g_fixture->m_now);
+  }
+  g_fixture->Pass(milliseconds(20));
+  g_fixture->EndProbes(false);
+  g_fixture->Pass(milliseconds(100));
+  cr_assert_eq(g_fixture->Count<RequestSuspected>(), 0);
+}
+
+Test(ReachMonitor, TwoServersRefuse_ProbeReachesAnother_CrashesAreRecorded) {
+  std::set<std::string> refusing;
+  for (uint64_t object = 0; refusing.size() < 2; ++object) {
+    g_fixture->Arrive("/write/x", object);
+    const SendToServer send = *g_fixture->Last<SendToServer>();
+    g_fixture->End(send, AttemptEnd::kLost);
+    refusing.insert(send.m_instance);
+  }
+  for (const std::string& server : refusing) {
+    g_fixture->m_steering.ServerChecked(
+        server, ServerReach::kRefusesConnections, g_fixture->m_now);
+  }
+  g_fixture->Pass(milliseconds(20));
+  g_fixture->EndProbes(true);
+  g_fixture->Pass(milliseconds(20));
+  cr_assert_eq(g_fixture->Count<RequestSuspected>(), 2);
+}
+
 Test(ReachMonitor, OneServerFails_NothingIsProbed) {
   for (int request = 0; request < 5; ++request) {
     g_fixture->m_steering.Arrived(
