Accept passed-on requests without the store if the sender has none either

What callers would see: while the store is away for all VMs, a VM without any server in reach would have its requests refused by every other VM. Found on reading the change again.

Cause: a VM whose data may be stale refused all passed-on requests, since the sender may know of a newer configuration or of a leaving server. A sender without the store knows no more.

Change: the terms say whether the sender's own data may be stale; only then is a stale VM good enough. An older routing table is refused as before.

Test SteeringPeers::StoreIsAwayForBothVms_PassedOn_IsSent.

--- a/src/proxy/peer_fields.cc
+++ b/src/proxy/peer_fields.cc
@@ -16,6 +16,8 @@
 
 /// Version of the sender's routing table.
 constexpr const char* kPeerTableField = "sorrelplank-peer-table";
+/// "1" if the sender's data on servers and configuration may be outdated.
+constexpr const char* kPeerStaleField = "sorrelplank-peer-stale";
 /// Backend servers that the request may still be sent to.
 constexpr const char* kPeerSendsField = "sorrelplank-peer-sends";
 
@@ -34,19 +36,22 @@
 }  // namespace
 
 bool IsPeerField(const std::string& name) {
-  return name == kPeerTableField || name == kPeerSendsField ||
-         name == kPeerRefusalField;
+  return name == kPeerTableField || name == kPeerStaleField ||
+         name == kPeerSendsField || name == kPeerRefusalField;
 }
 
 std::string FormatPassedOnTerms(const PassedOnTerms& terms) {
-  return fmt::format("{}: {}\r\n{}: {}\r\n", kPeerTableField,
-                     terms.m_table_version, kPeerSendsField, terms.m_max_sends);
+  return fmt::format("{}: {}\r\n{}: {}\r\n{}: {}\r\n", kPeerTableField,
+                     terms.m_table_version, kPeerStaleField,
+                     terms.m_is_data_stale ? 1 : 0, kPeerSendsField,
+                     terms.m_max_sends);
 }
 
 PassedOnTerms ParsePassedOnTerms(const HttpRequest& request) {
   return {
       .m_table_version = ParseNumber<uint64_t>(request.Header(kPeerTableField))
                              .value_or(std::numeric_limits<uint64_t>::max()),
+      .m_is_data_stale = request.Header(kPeerStaleField) == "1",
       .m_max_sends =
           ParseNumber<uint32_t>(request.Header(kPeerSendsField)).value_or(1)};
 }
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -191,7 +191,7 @@
 
 void Steering::Admit(SteeredRequest& request, TimePoint now) {
   const auto& passed_on = request.m_facts.m_passed_on;
-  if (passed_on && (m_picker.IsDataStale() ||
+  if (passed_on && ((m_picker.IsDataStale() && !passed_on->m_is_data_stale) ||
                     m_table->m_version < passed_on->m_table_version)) {
     // The VM that passed the request on may know of a newer configuration, and
     // of servers that are leaving.
--- a/src/steer/steering_peers.cc
+++ b/src/steer/steering_peers.cc
@@ -98,6 +98,7 @@
                     .m_client_address = peer->m_client_address,
                     .m_time_left = request.m_deadline - now,
                     .m_terms = {.m_table_version = request.m_table->m_version,
+                                .m_is_data_stale = m_picker.IsDataStale(),
                                 .m_max_sends = max_sends},
                     .m_waited = now - request.m_arrived});
   return true;
--- a/tests/peer_fields_test.cc
+++ b/tests/peer_fields_test.cc
@@ -14,9 +14,9 @@
 Test(PeerFields, Terms_FormattedAndParsed_AreTheSame) {
   const std::string lines =
       FormatPassedOnTerms({.m_table_version = 17, .m_max_sends = 2});
-  cr_assert_str_eq(
-      lines.c_str(),
-      "sorrelplank-peer-table: 17\r\nsorrelplank-peer-sends: 2\r\n");
+  cr_assert_str_eq(lines.c_str(),
+                   "sorrelplank-peer-table: 17\r\nsorrelplank-peer-stale: 0\r\n"
+                   "sorrelplank-peer-sends: 2\r\n");
   HttpRequest request;
   request.m_headers = {{"sorrelplank-peer-table", "17"},
                        {"sorrelplank-peer-sends", "2"}};
--- a/tests/steering_peers_test.cc
+++ b/tests/steering_peers_test.cc
@@ -170,6 +170,20 @@
   cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kTableMayBeOld);
 }
 
+// The store is away for all VMs: refusing what a VM passes on that knows no
+// more would leave its callers without any server.
+Test(SteeringPeers, StoreIsAwayForBothVms_PassedOn_IsSent) {
+  g_fixture->m_steering.SetDataStale(true);
+  const size_t sends = g_fixture->Count<SendToServer>();
+  g_fixture->ArriveFromPeer(
+      "/read/x",
+      {.m_table_version = 1, .m_is_data_stale = true, .m_max_sends = 2});
+  cr_assert_eq(g_fixture->Count<SendToServer>(), sends + 1);
+  g_fixture->ArriveFromPeer("/read/x",
+                            {.m_table_version = 1, .m_max_sends = 2});
+  cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kTableMayBeOld);
+}
+
 Test(SteeringPeers, PassedOnWithOneServerLeft_Rejected_IsNotRetried) {
   g_fixture->ArriveFromPeer("/read/x",
                             {.m_table_version = 1, .m_max_sends = 1});
