--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -211,6 +211,16 @@
   cr_assert_eq(read.m_revision.Get(), 413);
 }
 
+Test(PlatformDecode, StoreRead_StatesItsEra_AlsoWhereTheHistoryIsGone) {
+  HttpResult result;
+  result.m_end = FetchOutcome::kAnswered;
+  result.m_response.m_status = 410;
+  result.m_response.m_headers = {{"store-era", "3"}};
+  cr_assert_eq(DecodeRead(result, "events").m_era, StoreEra(3));
+  result.m_response.m_headers = {{"store-era", "3x"}};
+  cr_assert_eq(DecodeRead(result, "events").m_era, StoreEra());
+}
+
 Test(PlatformDecode, StoreRead_DamagedBody_CountsAsNoResponse) {
   HttpResult result;
   result.m_end = FetchOutcome::kAnswered;
