Test a store that is restored from an older copy; fails on this code

The simulated store can return to its state before its last changes, with a new era, and gives out their revisions again. Two tests fail: a version of the configuration that is written after the restore is at no VM 30 s later (revision taken for old), and servers written again stay unknown where the store has passed the old revision before any VM asks.

--- a/tests/store_fleet.cc
+++ b/tests/store_fleet.cc
@@ -173,6 +173,7 @@
   }
   StoreReadResult read;
   read.m_end = StoreOutcome::kDone;
+  read.m_era = StoreEra(m_era);
   read.m_revision = Revision(m_revision);
   std::set<std::string> left_out;
   if (page.m_mode == ReadMode::kMayBeStale) {
@@ -201,7 +202,8 @@
 
 StoreReadResult StoreFleet::EventsAfter(Revision revision) const {
   StoreReadResult read;
-  if (revision.Get() < m_discarded_revision) {
+  read.m_era = StoreEra(m_era);
+  if (revision.Get() < m_discarded_revision || revision.Get() > m_revision) {
     read.m_end = StoreOutcome::kHistoryGone;
     return read;
   }
@@ -286,11 +288,13 @@
   const StoreItem item{key, value, Revision(++m_revision), false};
   m_items[key] = item;
   m_history.push_back(item);
+  m_all_changes.push_back(item);
 }
 
 void StoreFleet::Remove(const std::string& key) {
   if (m_items.erase(key) > 0) {
     m_history.push_back({key, "", Revision(++m_revision), true});
+    m_all_changes.push_back(m_history.back());
   }
 }
 
@@ -299,6 +303,24 @@
   m_discarded_revision = m_revision;
 }
 
+void StoreFleet::RestoreOlderCopy(size_t changes) {
+  m_all_changes.resize(m_all_changes.size() -
+                       std::min(changes, m_all_changes.size()));
+  m_items.clear();
+  for (const StoreItem& change : m_all_changes) {
+    if (change.m_removed) {
+      m_items.erase(change.m_key);
+    } else {
+      m_items[change.m_key] = change;
+    }
+  }
+  m_history = m_all_changes;
+  m_revision =
+      m_all_changes.empty() ? 0 : m_all_changes.back().m_revision.Get();
+  m_discarded_revision = std::min(m_discarded_revision, m_revision);
+  ++m_era;
+}
+
 std::vector<size_t> StoreFleet::Watchers() const {
   std::vector<size_t> watchers;
   for (const auto& vm : m_vms) {
--- a/tests/store_fleet.h
+++ b/tests/store_fleet.h
@@ -42,6 +42,9 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   void DiscardHistory();
+  /// Returns the store to its state before the last `changes` changes; it gives
+  /// out their revisions again.
+  void RestoreOlderCopy(size_t changes);
   /// Whether the store refuses or ignores the calls of all VMs.
   void SetStoreRefuses(bool refuses) { m_is_store_refusing = refuses; }
   void SetStoreSilent(bool is_silent) { m_is_store_silent = is_silent; }
@@ -116,6 +119,9 @@
   std::vector<StoreItem> m_history;
   uint64_t m_revision = 10;
   uint64_t m_discarded_revision = 0;
+  /// All changes; not affected by DiscardHistory().
+  std::vector<StoreItem> m_all_changes;
+  uint64_t m_era = 1;
   bool m_is_store_refusing = false;
   bool m_is_store_silent = false;
   std::vector<std::unique_ptr<Vm>> m_vms;
--- a/tests/store_fleet_test.cc
+++ b/tests/store_fleet_test.cc
@@ -323,5 +323,38 @@
   }
 }
 
+/// Writes some versions of the configuration, and lets the store come back from
+/// a copy without the last ones after an outage.
+void RestoreWithout(StoreFleet& fleet, size_t changes) {
+  for (size_t change = 0; change < 6; ++change) {
+    fleet.Put("op/config", "old version " + std::to_string(change));
+    fleet.RunFor(seconds(1));
+  }
+  fleet.SetStoreSilent(true);
+  fleet.RunFor(seconds(2));
+  fleet.RestoreOlderCopy(changes);
+  fleet.SetStoreSilent(false);
+}
+
+// A store that is restored from an older copy gives out revisions again: what
+// is written then was taken for old, and never came into force.
+Test(StoreFleet, StoreRestored_ChangeWithUsedRevision_ReachesAllVms) {
+  RestoreWithout(g_fixture->m_fleet, 4);
+  g_fixture->m_fleet.RunFor(seconds(4));
+  g_fixture->ExpectChangeWithin(kBound);
+}
+
+// The same where the store has given the revisions out again before any VM
+// asks: no 410 tells of it.
+Test(StoreFleet, StoreRestored_RevisionsUsedBeforeAnyRead_ReachesAllVms) {
+  RestoreWithout(g_fixture->m_fleet, 4);
+  for (int server = 0; server < 10; ++server) {
+    g_fixture->m_fleet.Put("servers/back-" + std::to_string(server), "ready");
+  }
+  g_fixture->ExpectChangeWithin(kBound);
+  g_fixture->m_fleet.RunFor(seconds(4));
+  cr_expect(g_fixture->m_fleet.HasValue(40, "servers/back-0", "ready"));
+}
+
 }  // namespace
 }  // namespace sorrelplank::platform
