Compare revisions of the store within their era only

What callers saw: after the store came back from a copy some seconds old, requests were handled by an old configuration (version 24 confirmed, 21 in force) and new routes got 404 (45 proper requests).

Cause: the store gives out revisions again after a restore, and everything here took it for granted that they only rise. What was written then had a revision at or below the one held and was taken for old; the position in the change log stayed ahead of the store's. Class: a number compared without the history that it belongs to.

Ruled out: that relays alone kept the old state (VMs that watch the store themselves had it too), and a watch that waits at a revision ahead (410 came at once; it does so where the store has passed the revision again, which the second test shows).

Change: a Revision holds the era of the answer that it came with and compares by it first. An answer or relay of a later era leads to a full read; one of an earlier era is dropped. Queries to relays and their replies state the era; a VM of an earlier version, which does not, is served as before, and is not used as a relay. After a restore a missing key is removed 2 s later at the earliest, also the operator's, since its writer writes it again; crash records that are missing keep counting. Keys with the same value cause no change. Older configuration versions are ignored as before.

Why it holds: two revisions can no longer be compared without their eras, as the type holds both.

--- a/tests/store_fleet.cc
+++ b/tests/store_fleet.cc
@@ -29,6 +29,12 @@
 constexpr uint16_t kFeedPort = 7;
 constexpr Duration kMaxLag = seconds(4);
 
+/// The item as an answer of the store in this era shows it.
+StoreItem InEra(StoreItem item, StoreEra era) {
+  item.m_revision = Revision(item.m_revision.Get(), era);
+  return item;
+}
+
 }  // namespace
 
 StoreFleet::StoreFleet(size_t domains, size_t vms_per_domain)
@@ -174,14 +180,15 @@
   StoreReadResult read;
   read.m_end = StoreOutcome::kDone;
   read.m_era = StoreEra(m_era);
-  read.m_revision = Revision(m_revision);
+  read.m_revision = Revision(m_revision, read.m_era);
   std::set<std::string> left_out;
   if (page.m_mode == ReadMode::kMayBeStale) {
     const size_t old_by = std::min(kStaleReadChanges, m_history.size());
     for (size_t at = m_history.size() - old_by; at < m_history.size(); ++at) {
       left_out.insert(m_history[at].m_key);
-      read.m_revision = std::min(read.m_revision,
-                                 Revision(m_history[at].m_revision.Get() - 1));
+      read.m_revision =
+          std::min(read.m_revision,
+                   Revision(m_history[at].m_revision.Get() - 1, read.m_era));
     }
   }
   const std::string begin = std::max(page.m_prefix, page.m_after);
@@ -193,7 +200,7 @@
       break;
     }
     if (!left_out.contains(it->first)) {
-      read.m_items.push_back(it->second);
+      read.m_items.push_back(InEra(it->second, read.m_era));
     }
   }
   m_items_read += read.m_items.size();
@@ -208,10 +215,10 @@
     return read;
   }
   read.m_end = StoreOutcome::kDone;
-  read.m_revision = Revision(m_revision);
+  read.m_revision = Revision(m_revision, read.m_era);
   for (const StoreItem& event : m_history) {
-    if (event.m_revision > revision) {
-      read.m_items.push_back(event);
+    if (event.m_revision.Get() > revision.Get()) {
+      read.m_items.push_back(InEra(event, read.m_era));
     }
   }
   return read;
--- a/tests/store_mirror_test.cc
+++ b/tests/store_mirror_test.cc
@@ -19,7 +19,7 @@
     for (uint64_t number = 1; number <= 12; ++number) {
       m_items.push_back(Item("servers/i-" + std::to_string(number), number));
     }
-    m_mirror.Load(m_items, m_now);
+    m_mirror.Load(m_items, {}, m_now);
   }
 
   static StoreItem Item(const std::string& key, uint64_t revision) {
@@ -97,7 +97,7 @@
   mirror.MarkStoreAnswered(back);
   std::vector<StoreItem> left = g_fixture->m_items;
   left.pop_back();
-  const auto changes = mirror.Load(left, back);
+  const auto changes = mirror.Load(left, {}, back);
   cr_assert_eq(changes.size(), 1);
   cr_assert(changes.front().m_removed);
 }
