Keep a leaving server leaving when an older entry says otherwise

A copy that the store is restored from may hold the entry from before a server said that it leaves. Taken as it is, requests would go to the server again until it has written its entry once more. A run that leaves does not come back, so the state of a known run only changes towards leaving. Found on reading for what else a restored store could undo.

--- a/src/steer/steering_knowledge.cc
+++ b/src/steer/steering_knowledge.cc
@@ -82,7 +82,11 @@
     return ServerChange::kUnknownDomain;
   }
   if (known && IsSameRun(entry, known->Entry())) {
-    Service(entry.m_service).UpdateServer(*known, entry, now);
+    ServerEntry update = entry;
+    // A run that leaves does not come back. An entry that says otherwise is
+    // from an older copy of the store.
+    update.m_leaving |= known->Entry().m_leaving;
+    Service(entry.m_service).UpdateServer(*known, update, now);
     return ServerChange::kUpdated;
   }
   RemoveServer(entry.m_instance, now);
