Soak: restore the store from an older copy

The stand-in for the store keeps a copy each half second, can return to one, gives revisions and leases out again, and states its era in every answer. New kind restore_store: servers and the operator write, the store is silent for up to 2 s, comes back from a copy up to 8 s old, and all is written again within 2 s. At the end of every run a version written then must be in force at each VM.

--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -243,6 +243,11 @@
 
 void SoakEnvironment::PutConfig() {
   ++m_version;
+  m_up_to_date.clear();
+  WriteConfig();
+}
+
+void SoakEnvironment::WriteConfig() {
   json rows = json::array();
   const auto add = [&rows](const std::string& name, const char* kind,
                            const char* service) {
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -55,6 +55,11 @@
   bool AreCallersIdle() const;
   /// Ends faults of the store, of links and of paused VMs at once.
   void ClearFaults();
+  /// Sends a request on the route that was added last to each VM that has not
+  /// answered one yet with another status than 404.
+  void ProbeNewestRoute();
+  /// Whether all running VMs have done so.
+  bool IsNewestRouteInForce() const;
   Ledger& Records() { return m_ledger; }
   const CrashingRequests& Crashing() const { return m_crashing; }
   const NoticeChecker& Notices() const { return m_notices; }
@@ -84,6 +89,9 @@
   void StoreIsSlow(Random& random);
   void StoreLosesAnswers(Random& random);
   void StoreForgetsHistory(Random& random);
+  /// The store is away for a moment and comes back from an older copy; the
+  /// operator and the servers write their keys again.
+  void RestoreStore(Random& random);
   void RestartServerUnderItsId(Random& random);
   void OverwriteServerEntry(Random& random);
   void RepeatCrashingRequest(Random& random);
@@ -118,6 +126,8 @@
 
   void WriteSettings(Vm& vm);
   void PutConfig();
+  /// Writes the newest version to the store.
+  void WriteConfig();
   void PutServerEntry(const SoakServer& server, const char* state);
   void RestartServer(SoakServer& server, const std::string& service);
   void StoreFault(const std::string& faults, Duration time);
@@ -143,6 +153,8 @@
   /// served about as well as those of the others. VMs with another disturbance
   /// do not count.
   void CheckServedWhileCut(TimePoint began, TimePoint ended);
+  /// Records how a request ended; returns whether it was answered.
+  bool RecordResult(const std::string& id, const HttpResult& result);
   void OnAttemptResult(const std::string& id, const HttpResult& result);
   CallerTarget PickTarget();
   /// Address for callers' requests, "IP:PORT".
@@ -172,6 +184,9 @@
   asio::steady_timer m_poll;
   std::minstd_rand m_random;
   uint64_t m_version = 0;
+  /// VMs by which m_version is in force, as seen by ProbeNewestRoute().
+  std::set<std::string> m_up_to_date;
+  uint64_t m_route_probes = 0;
   uint64_t m_next_instance = 1;
   int m_crashing_paths = 0;
   /// When the store entry of an instance was set to draining, or the evacuation
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -242,14 +242,14 @@
   }
 }
 
-void SoakEnvironment::OnAttemptResult(const std::string& id,
-                                      const HttpResult& result) {
+bool SoakEnvironment::RecordResult(const std::string& id,
+                                   const HttpResult& result) {
   const ProxyHeaderNames names = platform::HeaderNames();
   if (result.m_end != FetchOutcome::kAnswered) {
     const bool is_connected = result.m_end != FetchOutcome::kConnectFailed;
     m_ledger.RecordEnd(id, is_connected ? CallerOutcome::kConnectionLost
                                         : CallerOutcome::kNotAccepted);
-    return;
+    return false;
   }
   const HttpResponse& response = result.m_response;
   const std::string* echoed = FindField(response.m_headers, names.m_request_id);
@@ -259,6 +259,14 @@
        .m_has_stamp = FindField(response.m_headers, names.m_stamp) != nullptr,
        .m_request_id = echoed == nullptr ? "" : *echoed,
        .m_body = response.m_body});
+  return true;
+}
+
+void SoakEnvironment::OnAttemptResult(const std::string& id,
+                                      const HttpResult& result) {
+  if (!RecordResult(id, result)) {
+    return;
+  }
   const Vm* vm = FindVm(m_ledger.Find(id)->m_vm);
   if (SteadyNow() > vm->m_paused_until + kRestartDelay) {
     m_crashing.OnResponse(id);
@@ -439,6 +447,73 @@
              seconds(3));
 }
 
+void SoakEnvironment::RestoreStore(Random& random) {
+  const Duration away = RandomDuration(random, milliseconds(200), seconds(2));
+  const Duration age = RandomDuration(random, milliseconds(500), seconds(8));
+  const Duration rewrite =
+      RandomDuration(random, milliseconds(100), seconds(2));
+  StoreFault(nlohmann::json{{"silent_ms", away / milliseconds(1)}}.dump(),
+             away + rewrite);
+  ScheduleAfter(away, [this, age, rewrite] {
+    m_store.RestoreCopy(std::chrono::duration_cast<milliseconds>(age));
+    ScheduleAfter(rewrite, [this] {
+      WriteConfig();
+      for (const auto& server : m_servers) {
+        if (server->IsUp()) {
+          PutServerEntry(*server, m_leaving.contains(server->Instance())
+                                      ? "draining"
+                                      : "ready");
+        }
+      }
+      for (const char* domain : {"d1", "d2"}) {
+        const std::string key =
+            std::string(platform::kEvacuationPrefix) + domain;
+        if (m_evacuated.contains(domain)) {
+          m_store.PutText(key, "{}");
+        } else {
+          m_store.RemoveKey(key);
+        }
+      }
+    });
+  });
+}
+
+void SoakEnvironment::ProbeNewestRoute() {
+  const ProxyHeaderNames names = platform::HeaderNames();
+  for (const Vm& vm : m_vms) {
+    if (!vm.m_child->IsRunning() || m_up_to_date.contains(vm.m_name)) {
+      continue;
+    }
+    const std::string id = "added-" + std::to_string(++m_route_probes);
+    const std::string path = "/added" + std::to_string(m_version) + "/" + id;
+    m_ledger.RecordSent(id, {.m_vm = vm.m_name,
+                             .m_path = path,
+                             .m_body = "",
+                             .m_organisation = kUnlimitedOrganisation});
+    HttpFetch fetch;
+    fetch.m_url = "http://" + CallerAddress(vm) + path;
+    fetch.m_headers = {
+        {"Host", "soak.example"},
+        {names.m_request_id, id},
+        {names.m_deadline_ms, "2000"},
+        {names.m_credentials, std::string("Bearer ") + kUnlimitedKey}};
+    fetch.m_fresh_connection = true;
+    fetch.m_close_connection = true;
+    m_http.Start(std::move(fetch), [this, id, name = vm.m_name](
+                                       const HttpResult& result) {
+      if (RecordResult(id, result) && result.m_response.m_status != 404) {
+        m_up_to_date.insert(name);
+      }
+    });
+  }
+}
+
+bool SoakEnvironment::IsNewestRouteInForce() const {
+  return std::all_of(m_vms.begin(), m_vms.end(), [this](const Vm& vm) {
+    return !vm.m_child->IsRunning() || m_up_to_date.contains(vm.m_name);
+  });
+}
+
 void SoakEnvironment::StoreForgetsHistory(Random&) {
   StoreFault(R"({"forget_history": true})", milliseconds(100));
 }
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -44,6 +44,7 @@
     {"store_is_slow", false, &SoakEnvironment::StoreIsSlow},
     {"store_loses_answers", false, &SoakEnvironment::StoreLosesAnswers},
     {"store_forgets_history", false, &SoakEnvironment::StoreForgetsHistory},
+    {"restore_store", false, &SoakEnvironment::RestoreStore},
     {"restart_server_under_its_id", false,
      &SoakEnvironment::RestartServerUnderItsId},
     {"overwrite_server_entry", false, &SoakEnvironment::OverwriteServerEntry},
@@ -64,6 +65,10 @@
 /// Fraction of the requests of one second that must succeed for callers to
 /// count as served.
 constexpr double kMinServedFraction = 0.9;
+/// Time within which a new version must be in force, however busy the machine
+/// is, and the interval at which that is checked.
+constexpr Duration kMaxConfigTime = seconds(15);
+constexpr Duration kConfigProbeInterval = milliseconds(300);
 constexpr Duration kIdlePollInterval = milliseconds(50);
 
 /// Options of a run, from the command line.
@@ -102,6 +107,7 @@
     }
     m_environment.ClearFaults();
     CheckRecovery();
+    CheckConfigInForce();
     m_environment.StopCallers();
     const TimePoint idle_by = SteadyNow() + seconds(10);
     while (!m_environment.AreCallersIdle() && SteadyNow() < idle_by) {
@@ -148,6 +154,21 @@
                                    "callers were not served again in time");
   }
 
+  /// A version written now must come into force at every VM.
+  void CheckConfigInForce() {
+    m_environment.ChangeConfig(m_random);
+    const TimePoint by = SteadyNow() + kMaxConfigTime;
+    while (SteadyNow() < by) {
+      m_environment.ProbeNewestRoute();
+      RunFor(kConfigProbeInterval);
+      if (m_environment.IsNewestRouteInForce()) {
+        return;
+      }
+    }
+    m_environment.Records().Breach("configuration", "-",
+                                   "on the newest route is refused by a VM");
+  }
+
   bool Report() {
     const LedgerCounts& counts = m_environment.Records().Counts();
     const auto& breaches = m_environment.Records().Breaches();
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -17,6 +17,10 @@
 constexpr size_t kPageItems = 50;
 constexpr size_t kMaxHistoryItems = 10000;
 constexpr auto kTimerInterval = std::chrono::milliseconds(50);
+/// Interval between copies that the store can be restored from, and how long
+/// they are kept.
+constexpr auto kCopyInterval = std::chrono::milliseconds(500);
+constexpr auto kMaxCopyAge = std::chrono::seconds(12);
 
 HttpResponse JsonResponse(int status, const json& body = json::object()) {
   HttpResponse response;
@@ -52,7 +56,12 @@
   ScheduleTimer();
 }
 
-void StoreStandin::Serve(const HttpRequest& request, const HttpReply& reply) {
+void StoreStandin::Serve(const HttpRequest& request,
+                         const HttpReply& plain_reply) {
+  const HttpReply reply = [this, plain_reply](HttpResponse response) {
+    response.m_headers.emplace_back("Store-Era", std::to_string(m_era));
+    plain_reply(std::move(response));
+  };
   if (request.m_path == "/v1/fault") {
     SetFaults(request);
     reply(JsonResponse(200));
@@ -149,7 +158,8 @@
       Clock::now() +
       std::chrono::milliseconds(ToNumber(QueryText(request, "WaitMs")));
   watcher.m_reply = reply;
-  if (watcher.m_after_revision < m_compacted_revision) {
+  if (watcher.m_after_revision < m_compacted_revision ||
+      watcher.m_after_revision > m_revision) {
     reply(JsonResponse(410));
     return;
   }
@@ -313,7 +323,50 @@
   WakeWatchers();
 }
 
+void StoreStandin::TakeCopy() {
+  const auto now = Clock::now();
+  if (!m_copies.empty() && now - m_copies.back().m_taken < kCopyInterval) {
+    return;
+  }
+  m_copies.push_back({now, m_items, m_revision, m_leases, m_next_lease});
+  while (now - m_copies.front().m_taken > kMaxCopyAge) {
+    m_copies.pop_front();
+  }
+}
+
+void StoreStandin::RestoreCopy(std::chrono::milliseconds min_age) {
+  const auto now = Clock::now();
+  while (!m_copies.empty() && now - m_copies.back().m_taken < min_age) {
+    m_copies.pop_back();
+  }
+  if (m_copies.empty()) {
+    return;
+  }
+  const Copy& copy = m_copies.back();
+  m_items = copy.m_items;
+  m_revision = copy.m_revision;
+  m_leases = copy.m_leases;
+  for (auto& [id, lease] : m_leases) {
+    lease.m_expires =
+        now + std::chrono::duration_cast<Clock::duration>(lease.m_lifetime);
+  }
+  m_next_lease = copy.m_next_lease;
+  m_history.clear();
+  m_compacted_revision = m_revision;
+  ++m_era;
+  std::vector<Watcher> watchers;
+  watchers.swap(m_watchers);
+  for (Watcher& watcher : watchers) {
+    if (watcher.m_after_revision == m_revision) {
+      m_watchers.push_back(std::move(watcher));
+    } else {
+      watcher.m_reply(JsonResponse(410));
+    }
+  }
+}
+
 void StoreStandin::OnTimer() {
+  TakeCopy();
   const auto now = Clock::now();
   std::vector<uint64_t> expired;
   for (const auto& [id, lease] : m_leases) {
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -24,6 +24,11 @@
 
   void Serve(const HttpRequest& request, const HttpReply& reply);
 
+  /// Returns to the newest copy that is at least so old, if there is one. What
+  /// was written since is lost, its revisions and leases are given out again,
+  /// and the era rises.
+  void RestoreCopy(std::chrono::milliseconds min_age);
+
   /// Write and remove keys directly, unaffected by injected faults.
   void PutText(const std::string& key, const std::string& value);
   void RemoveKey(const std::string& key);
@@ -57,6 +62,16 @@
     HttpReply m_reply;
   };
 
+  /// State of the store at some moment.
+  struct Copy {
+    Clock::time_point m_taken;
+    std::map<std::string, Item> m_items;
+    uint64_t m_revision = 0;
+    std::map<uint64_t, Lease> m_leases;
+    uint64_t m_next_lease = 1;
+  };
+
+  void TakeCopy();
   void Dispatch(const HttpRequest& request, const HttpReply& reply);
   void Range(const HttpRequest& request, const HttpReply& reply);
   void Watch(const HttpRequest& request, const HttpReply& reply);
@@ -87,6 +102,8 @@
   uint64_t m_revision = 0;
   std::map<uint64_t, Lease> m_leases;
   uint64_t m_next_lease = 1;
+  std::deque<Copy> m_copies;
+  uint64_t m_era = 1;
   std::vector<Watcher> m_watchers;
   size_t m_peak_watchers = 0;
   std::map<std::string, uint64_t> m_calls;
