Soak: write shortly before the store is restored, one restore at a time

Now servers and the operator write 0.8 s before the store goes away, the copy is from before that, and a restore starts only once the one before has been written again.

--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -126,6 +126,8 @@
 
   void WriteSettings(Vm& vm);
   void PutConfig();
+  /// Writes what a restored store may lack.
+  void WriteLostKeys();
   /// Writes the newest version to the store.
   void WriteConfig();
   void PutServerEntry(const SoakServer& server, const char* state);
@@ -187,6 +189,7 @@
   /// VMs by which m_version is in force, as seen by ProbeNewestRoute().
   std::set<std::string> m_up_to_date;
   uint64_t m_route_probes = 0;
+  bool m_is_restoring = false;
   uint64_t m_next_instance = 1;
   int m_crashing_paths = 0;
   /// When the store entry of an instance was set to draining, or the evacuation
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -34,6 +34,10 @@
 /// A server that a request crashed, or that announced its leaving, restarts
 /// this long after its end.
 constexpr Duration kRestartDelay = seconds(3);
+/// Time within which the VMs learn of a change while nothing is disturbed.
+constexpr Duration kTimeToLearn = milliseconds(800);
+/// How often servers write their entries shortly before the store is restored.
+constexpr int kHeartbeatsBeforeRestore = 3;
 /// Requests sent this long before a check may still be unanswered.
 constexpr Duration kAnswerTime = milliseconds(500);
 /// How often a crashing request is sent.
@@ -448,34 +452,54 @@
 }
 
 void SoakEnvironment::RestoreStore(Random& random) {
+  if (m_is_restoring) {
+    return;
+  }
+  m_is_restoring = true;
+  // What the copy lacks has higher revisions than what is written afterwards.
+  for (int heartbeat = 0; heartbeat < kHeartbeatsBeforeRestore; ++heartbeat) {
+    for (const auto& server : m_servers) {
+      if (server->IsUp() && !m_leaving.contains(server->Instance())) {
+        PutServerEntry(*server, "ready");
+      }
+    }
+  }
+  PutConfig();
   const Duration away = RandomDuration(random, milliseconds(200), seconds(2));
-  const Duration age = RandomDuration(random, milliseconds(500), seconds(8));
+  const Duration age = kTimeToLearn + away +
+                       RandomDuration(random, milliseconds(100), seconds(6));
   const Duration rewrite =
       RandomDuration(random, milliseconds(100), seconds(2));
-  StoreFault(nlohmann::json{{"silent_ms", away / milliseconds(1)}}.dump(),
-             away + rewrite);
-  ScheduleAfter(away, [this, age, rewrite] {
+  ScheduleAfter(kTimeToLearn, [this, away, rewrite] {
+    StoreFault(nlohmann::json{{"silent_ms", away / milliseconds(1)}}.dump(),
+               away + rewrite);
+  });
+  ScheduleAfter(kTimeToLearn + away, [this, age] {
     m_store.RestoreCopy(std::chrono::duration_cast<milliseconds>(age));
-    ScheduleAfter(rewrite, [this] {
-      WriteConfig();
-      for (const auto& server : m_servers) {
-        if (server->IsUp()) {
-          PutServerEntry(*server, m_leaving.contains(server->Instance())
-                                      ? "draining"
-                                      : "ready");
-        }
-      }
-      for (const char* domain : {"d1", "d2"}) {
-        const std::string key =
-            std::string(platform::kEvacuationPrefix) + domain;
-        if (m_evacuated.contains(domain)) {
-          m_store.PutText(key, "{}");
-        } else {
-          m_store.RemoveKey(key);
-        }
-      }
-    });
   });
+  ScheduleAfter(kTimeToLearn + away + rewrite, [this] {
+    m_is_restoring = false;
+    WriteLostKeys();
+  });
+}
+
+void SoakEnvironment::WriteLostKeys() {
+  WriteConfig();
+  for (const auto& server : m_servers) {
+    if (server->IsUp()) {
+      PutServerEntry(*server, m_leaving.contains(server->Instance())
+                                  ? "draining"
+                                  : "ready");
+    }
+  }
+  for (const char* domain : {"d1", "d2"}) {
+    const std::string key = std::string(platform::kEvacuationPrefix) + domain;
+    if (m_evacuated.contains(domain)) {
+      m_store.PutText(key, "{}");
+    } else {
+      m_store.RemoveKey(key);
+    }
+  }
 }
 
 void SoakEnvironment::ProbeNewestRoute() {
