Soak: check what servers ask of the VM that sent a request

The check took the receiving VM for the sender.

The sender is now the process that holds the connection at the proxy before the server, looked up for requests of VMs that may pass them on; otherwise it is the receiver, as before. The checks with a time bound need both VMs undisturbed, as the users' rules do. An unknown sender is not checked: its connection has been closed meanwhile.

Besides: a caller whose timeout expired while its response was handled ended its next, empty request.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "platform/wire_names.h"
 #include "soak/proxy_link.h"
 
 namespace sorrelplank::soak {
@@ -41,6 +42,27 @@
   }
 }
 
+void FaultProxy::NoteRequest(const std::string& bytes,
+                             const std::shared_ptr<ProxyLink>& link) {
+  const std::string field =
+      "\r\n" + platform::HeaderNames().m_request_id + ": ";
+  const size_t at = bytes.find(field);
+  if (at == std::string::npos) {
+    return;
+  }
+  const size_t begin = at + field.size();
+  m_links_by_request[bytes.substr(begin, bytes.find("\r\n", begin) - begin)] =
+      link;
+}
+
+std::string FaultProxy::SenderOf(const std::string& request_id,
+                                 const OwnerFinder& find) {
+  const auto it = m_links_by_request.find(request_id);
+  const auto link =
+      it == m_links_by_request.end() ? nullptr : it->second.lock();
+  return link == nullptr ? "" : link->FindOwner(find);
+}
+
 void FaultProxy::ResetCut() {
   const auto links = m_links;
   for (const auto& link : links) {
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -6,6 +6,7 @@
 #include <asio.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -60,10 +61,20 @@
   /// Resets the open connections that match the filter.
   void ResetCut();
 
+  /// Finds the name of the process that holds the caller's end of a connection.
+  using OwnerFinder =
+      std::function<std::string(const asio::ip::tcp::endpoint& caller,
+                                const asio::ip::tcp::endpoint& listener)>;
+  /// The process that sent the request with this id; empty if unknown.
+  std::string SenderOf(const std::string& request_id, const OwnerFinder& find);
+
  private:
   friend class ProxyLink;
 
   void Accept();
+  /// Records the connection of a request whose head is in the bytes.
+  void NoteRequest(const std::string& bytes,
+                   const std::shared_ptr<ProxyLink>& link);
 
   asio::io_context& m_io;
   ProxyEndpoints m_endpoints;
@@ -72,6 +83,8 @@
   LinkFault m_fault = LinkFault::kNone;
   Duration m_delay{};
   CutFilter m_is_cut;
+  /// By request id, from the time at which the request passed.
+  std::map<std::string, std::weak_ptr<ProxyLink>> m_links_by_request;
 };
 
 }  // namespace sorrelplank::soak
--- a/soak/notice_checker.cc
+++ b/soak/notice_checker.cc
@@ -65,7 +65,8 @@
   const RunId run{server.Instance(), server.Generation()};
   const CallerRequest* request = m_ledger.Find(id);
   const auto notices = m_notices.find(run);
-  if (request == nullptr || notices == m_notices.end()) {
+  if (request == nullptr || notices == m_notices.end() ||
+      process.m_vm.empty()) {
     return;
   }
   for (const Notice& notice : notices->second) {
--- a/soak/proxy_link.cc
+++ b/soak/proxy_link.cc
@@ -4,8 +4,6 @@
 
 #include <utility>
 
-#include "soak/fault_proxy.h"
-
 namespace sorrelplank::soak {
 
 namespace {
@@ -47,6 +45,15 @@
   return !error && m_proxy.m_is_cut(caller, m_caller.local_endpoint());
 }
 
+std::string ProxyLink::FindOwner(const FaultProxy::OwnerFinder& find) {
+  std::error_code error;
+  const auto caller = m_caller.remote_endpoint(error);
+  if (m_owner.empty() && !error) {
+    m_owner = find(caller, m_caller.local_endpoint());
+  }
+  return m_owner;
+}
+
 void ProxyLink::Read(Direction& direction) {
   direction.m_from.async_read_some(asio::buffer(direction.m_buffer),
                                    [self = shared_from_this(), &direction](
@@ -67,6 +74,9 @@
     return;
   }
   std::string copy(direction.m_buffer.data(), bytes);
+  if (!direction.m_is_response) {
+    m_proxy.NoteRequest(copy, shared_from_this());
+  }
   if (m_proxy.m_delay == Duration::zero()) {
     Write(direction, std::move(copy));
     return;
--- a/soak/proxy_link.h
+++ b/soak/proxy_link.h
@@ -8,9 +8,9 @@
 #include <memory>
 #include <string>
 
-namespace sorrelplank::soak {
+#include "soak/fault_proxy.h"
 
-class FaultProxy;
+namespace sorrelplank::soak {
 
 /// The client's socket and the socket to the target.
 class ProxyLink : public std::enable_shared_from_this<ProxyLink> {
@@ -20,6 +20,8 @@
   void Start();
   /// Whether the proxy's filter matches the caller's connection.
   bool IsCut() const;
+  /// The process that holds the caller's end; looked up once.
+  std::string FindOwner(const FaultProxy::OwnerFinder& find);
   /// Resets both connections.
   void Reset();
 
@@ -43,6 +45,7 @@
   asio::ip::tcp::socket m_target;
   Direction m_forward{m_caller, m_target};
   Direction m_backward{m_target, m_caller, true};
+  std::string m_owner;
   bool m_is_closed = false;
 };
 
--- a/soak/soak_caller.cc
+++ b/soak/soak_caller.cc
@@ -93,8 +93,9 @@
   m_response = HttpResponse();
   m_timeout_timer.expires_after(kRequestTimeout + kTimeoutSlack);
   m_timeout_timer.async_wait(
-      [self = shared_from_this()](std::error_code error) {
-        if (!error) {
+      [self = shared_from_this(), id = m_id](std::error_code error) {
+        // The response may have been handled since the timer expired.
+        if (!error && self->m_id == id) {
           self->OnEnd();
         }
       });
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -119,20 +119,22 @@
             io,
             SoakServerSpec{service, domain, Ip(100 + number++), kServerPort},
             m_ledger,
-            [this](const std::string& id, const SoakServer& run_server) {
+            [this](const std::string& id, SoakServer& run_server) {
               OnRun(id, run_server);
             },
             [this](const std::string& id, SoakServer& run_server) {
               OnCrash(id, run_server);
             },
             SoakServer::NoticeHandlers{
-                [this](const std::string& id, const SoakServer& run_server) {
-                  m_notices.OnArrival(id, run_server, ProcessOf(id),
+                [this](const std::string& id, SoakServer& run_server) {
+                  m_notices.OnArrival(id, run_server,
+                                      SenderProcess(id, run_server),
                                       SteadyNow());
                 },
-                [this](const std::string& id, const SoakServer& run_server,
+                [this](const std::string& id, SoakServer& run_server,
                        const ServerNotice& notice) {
-                  m_notices.OnNotice(id, run_server, notice, ProcessOf(id),
+                  m_notices.OnNotice(id, run_server, notice,
+                                     SenderProcess(id, run_server),
                                      SteadyNow());
                 }}));
         m_servers.back()->Proxy().SetCutFilter(
@@ -409,9 +411,34 @@
   });
 }
 
-VmProcess SoakEnvironment::ProcessOf(const std::string& id) {
+SoakEnvironment::Vm* SoakEnvironment::ReceiverOf(const std::string& id) {
   const CallerRequest* request = m_ledger.Find(id);
-  const Vm* vm = request == nullptr ? nullptr : FindVm(request->m_vm);
+  return request == nullptr ? nullptr : FindVm(request->m_vm);
+}
+
+SoakEnvironment::Vm* SoakEnvironment::SenderOf(const std::string& id,
+                                               SoakServer& server) {
+  Vm* const receiver = ReceiverOf(id);
+  if (receiver == nullptr || SteadyNow() > receiver->m_may_pass_on_until) {
+    return receiver;
+  }
+  return FindVm(server.Proxy().SenderOf(
+      id,
+      [this](const asio::ip::tcp::endpoint& caller,
+             const asio::ip::tcp::endpoint& listener) -> std::string {
+        for (const Vm& vm : m_vms) {
+          if (vm.m_child->IsRunning() &&
+              OwnsSocket(vm.m_child->Pid(), caller, listener)) {
+            return vm.m_name;
+          }
+        }
+        return "";
+      }));
+}
+
+VmProcess SoakEnvironment::SenderProcess(const std::string& id,
+                                         SoakServer& server) {
+  const Vm* vm = SenderOf(id, server);
   return vm == nullptr ? VmProcess() : VmProcess{vm->m_name, vm->m_starts};
 }
 
@@ -443,12 +470,13 @@
   }
 }
 
-void SoakEnvironment::OnRun(const std::string& id, const SoakServer& server) {
+void SoakEnvironment::OnRun(const std::string& id, SoakServer& server) {
   const CallerRequest* request = m_ledger.Find(id);
-  Vm* vm = request == nullptr ? nullptr : FindVm(request->m_vm);
+  const Vm* const vm = ReceiverOf(id);
+  const Vm* const sender = SenderOf(id, server);
   const TimePoint now = SteadyNow();
-  const bool is_timed =
-      m_options.m_checks_times && vm != nullptr && IsStable(*vm);
+  const bool is_timed = m_options.m_checks_times && vm != nullptr &&
+                        sender != nullptr && IsStable(*vm) && IsStable(*sender);
   if (request != nullptr && CrashingRequests::IsCrashingPath(request->m_path)) {
     m_crashing.OnRunStart(id, is_timed, now);
   }
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -112,6 +112,8 @@
     std::unique_ptr<EdgeChild> m_child;
     std::unique_ptr<FaultProxy> m_store_proxy;
     bool m_is_cut_from_servers = false;
+    /// Until then it may pass requests on to other VMs.
+    TimePoint m_may_pass_on_until{};
     /// The soak stopped or killed it; it is restarted after its exit.
     bool m_is_exit_expected = false;
     bool m_is_paused = false;
@@ -135,10 +137,17 @@
   void StoreFault(const std::string& faults, Duration time);
   void Poll();
   void PollVm(Vm& vm);
-  void OnRun(const std::string& id, const SoakServer& server);
+  void OnRun(const std::string& id, SoakServer& server);
   void OnConnectionLost(const std::string& id);
-  /// The process of the entry VM that received the request.
-  VmProcess ProcessOf(const std::string& id);
+  /// The entry VM that received the request from its caller; nullptr if none
+  /// did.
+  Vm* ReceiverOf(const std::string& id);
+  /// The entry VM that sent the request to the server: the receiver, or one
+  /// that a receiver without servers in reach passed it on to. nullptr if
+  /// unknown.
+  Vm* SenderOf(const std::string& id, SoakServer& server);
+  /// The same as a process; empty if unknown.
+  VmProcess SenderProcess(const std::string& id, SoakServer& server);
   /// Sets a server's notice and clears it after this time.
   void SetTemporaryNotice(SoakServer& server,
                           const ServerNotice& notice,
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -34,6 +34,8 @@
 /// A server that a request crashed, or that announced its leaving, restarts
 /// this long after its end.
 constexpr Duration kRestartDelay = seconds(3);
+/// Requests that were passed on end within this time after servers are back.
+constexpr Duration kRequestEndTime = seconds(4);
 /// Time within which the VMs learn of a change while nothing is disturbed.
 constexpr Duration kTimeToLearn = milliseconds(800);
 /// How often servers write their entries shortly before the store is restored.
@@ -409,7 +411,13 @@
     }
   }
   const TimePoint began = SteadyNow();
-  ScheduleAfter(RandomDuration(random, seconds(6), seconds(10)), [this, began] {
+  const Duration time = RandomDuration(random, seconds(6), seconds(10));
+  for (Vm& vm : m_vms) {
+    if (vm.m_is_cut_from_servers) {
+      vm.m_may_pass_on_until = began + time + kRequestEndTime;
+    }
+  }
+  ScheduleAfter(time, [this, began] {
     CheckServedWhileCut(began, SteadyNow() - kAnswerTime);
     for (Vm& vm : m_vms) {
       vm.m_is_cut_from_servers = false;
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -35,7 +35,7 @@
  public:
   /// Called for each request that starts to run, with its id and this server.
   using RunHandler =
-      std::function<void(const std::string& id, const SoakServer& server)>;
+      std::function<void(const std::string& id, SoakServer& server)>;
   /// Called for a request that crashes this server.
   using CrashHandler =
       std::function<void(const std::string& id, SoakServer& server)>;
@@ -45,7 +45,7 @@
   struct NoticeHandlers {
     RunHandler m_on_arrival;
     std::function<void(const std::string& id,
-                       const SoakServer& server,
+                       SoakServer& server,
                        const ServerNotice& notice)>
         m_on_notice;
   };
