--- a/src/steer/passed_on_terms_type.h
+++ b/src/steer/passed_on_terms_type.h
@@ -12,8 +12,8 @@
 struct PassedOnTerms {
   /// Version of the routing table there; an older one must not be used.
   uint64_t m_table_version = 0;
-  /// Whether its data on servers and configuration may be outdated; if not, that
-  /// of this VM must not be either.
+  /// Whether its data on servers and configuration may be outdated; if not,
+  /// that of this VM must not be either.
   bool m_is_data_stale = false;
   /// Backend servers that the request may still be sent to.
   uint32_t m_max_sends = 0;
