Soak: allow that SIGHUP ends a VM that has not begun to run

Traced by its log: killed, started again by the soak, and ended by SIGHUP before it had written a line; the next start follows 5.7 s after the last line of the run before. While its libraries are loaded a program has no handler, as the check says of SIGTERM. A SIGHUP that ends a process which has written to its log still counts.

--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -388,13 +388,17 @@
   if (!end.m_has_exited) {
     return;
   }
-  // While its libraries are loaded a program has no signal handler yet, so
-  // SIGTERM ends it by default; it has not started to listen by then.
+  // While its libraries are loaded a program has no signal handlers yet, so
+  // SIGTERM and SIGHUP end it by default; it has not started to listen by then.
   const bool was_stopped_while_loading =
       is_stopping && end.m_signal == SIGTERM && !end.m_has_written;
-  const bool is_failed_stop =
-      is_stopping && end.m_code != 0 && !was_stopped_while_loading;
-  if (!vm.m_is_exit_expected || is_failed_stop) {
+  const bool was_reloaded_while_loading =
+      end.m_signal == SIGHUP && !end.m_has_written;
+  const bool is_failed_stop = is_stopping && end.m_code != 0 &&
+                              !was_stopped_while_loading &&
+                              !was_reloaded_while_loading;
+  const bool is_expected = vm.m_is_exit_expected || was_reloaded_while_loading;
+  if (!is_expected || is_failed_stop) {
     m_ledger.Breach("no end of its own", vm.m_name,
                     "is a VM that exited with code " +
                         std::to_string(end.m_code) + ", signal " +
