--- a/tests/store_fleet.cc
+++ b/tests/store_fleet.cc
@@ -27,7 +27,6 @@
 constexpr size_t kStaleReadChanges = 5;
 constexpr size_t kPageItems = 50;
 constexpr uint16_t kFeedPort = 7;
-constexpr Duration kMaxLag = seconds(4);
 
 /// The item as an answer of the store in this era shows it.
 StoreItem InEra(StoreItem item, StoreEra era) {
@@ -37,8 +36,8 @@
 
 }  // namespace
 
-StoreFleet::StoreFleet(size_t domains, size_t vms_per_domain)
-    : m_log("fleet", open("/dev/null", O_WRONLY)) {
+StoreFleet::StoreFleet(size_t domains, size_t vms_per_domain, Duration max_lag)
+    : m_max_lag(max_lag), m_log("fleet", open("/dev/null", O_WRONLY)) {
   for (size_t number = 0; number < domains * vms_per_domain; ++number) {
     auto vm = std::make_unique<Vm>();
     vm->m_number = number;
@@ -54,8 +53,16 @@
 StoreFleet::~StoreFleet() = default;
 
 void StoreFleet::StartAll() {
+  StartFirst(m_vms.size());
+}
+
+void StoreFleet::StartFirst(size_t count) {
   for (const auto& vm : m_vms) {
-    const auto delay = milliseconds(vm->m_number * 300 / m_vms.size());
+    if (vm->m_number >= count) {
+      vm->m_faults.m_is_down = true;
+      continue;
+    }
+    const auto delay = milliseconds(vm->m_number * 300 / count);
     m_queue.After(delay, [this, &vm = *vm] { Start(vm); });
   }
 }
@@ -64,7 +71,7 @@
   ++vm.m_run;
   vm.m_copy.clear();
   StoreFollower::Options options{
-      .m_max_lag = kMaxLag,
+      .m_max_lag = m_max_lag,
       .m_domain_prefix = MemberPrefix(vm.m_member.m_failure_domain),
       .m_find_relays = [&vm](const std::vector<StoreItem>& entries) {
         return ChooseRelays(DecodeMembers(entries), vm.m_member, kFeedPort);
@@ -331,7 +338,7 @@
 std::vector<size_t> StoreFleet::Watchers() const {
   std::vector<size_t> watchers;
   for (const auto& vm : m_vms) {
-    if (vm->m_follower->IsWatchingStore()) {
+    if (vm->m_follower && vm->m_follower->IsWatchingStore()) {
       watchers.push_back(vm->m_number);
     }
   }
--- a/tests/store_fleet.h
+++ b/tests/store_fleet.h
@@ -31,11 +31,16 @@
 /// can be silent, refuse calls, expire entries and discard its history.
 class StoreFleet {
  public:
-  StoreFleet(size_t domains, size_t vms_per_domain);
+  /// Changes must be in force at the VMs within `max_lag`.
+  StoreFleet(size_t domains,
+             size_t vms_per_domain,
+             Duration max_lag = seconds(4));
   ~StoreFleet();
 
   /// Starts all VMs within a third of a second; each one registers itself.
   void StartAll();
+  /// Starts the first VMs only; Restart() lets one of the others join later.
+  void StartFirst(size_t count);
   void RunFor(Duration time);
 
   // The store, as seen by other writers.
@@ -114,6 +119,7 @@
                  TimePoint until,
                  const std::function<void(const StoreReadResult&)>& take);
 
+  Duration m_max_lag;
   trial::EventQueue m_queue;
   std::map<std::string, StoreItem> m_items;
   std::vector<StoreItem> m_history;
