--- a/tests/store_join_test.cc
+++ b/tests/store_join_test.cc
@@ -20,6 +20,8 @@
 /// A VM notices after this time at the latest that the store stopped answering:
 /// a watch of 3 s, its timeout margin and a pause before it.
 constexpr Duration kUnnoticedCutTime = milliseconds(3800);
+/// A paused VM continues after this time.
+constexpr Duration kPauseTime = seconds(3);
 /// After this time it has noticed that, and told its followers.
 constexpr Duration kNoticedCutTime = seconds(5);
 constexpr const char* kKey = "op/config";
@@ -28,10 +30,11 @@
 
 /// What happens in one run, by time since the start-up period.
 struct JoinScenario {
-  size_t m_vms = 1;  ///< VMs that run before one joins.
-  size_t m_cut = 0;  ///< Number of the VM that the store stops answering.
+  size_t m_vms = 1;     ///< VMs that run before one joins.
+  size_t m_victim = 0;  ///< Number of the VM that gets the fault.
+  bool VmFaults::*m_fault = &VmFaults::m_is_cut_off_from_store;
   Duration m_join_at{};
-  Duration m_cut_at{};
+  Duration m_fault_at{};
   Duration m_change_at{};
 };
 
@@ -52,18 +55,22 @@
     if (time == scenario.m_join_at) {
       fleet.Restart(scenario.m_vms);
     }
-    if (time == scenario.m_cut_at) {
-      fleet.FaultsOf(scenario.m_cut).m_is_cut_off_from_store = true;
+    if (time == scenario.m_fault_at) {
+      fleet.FaultsOf(scenario.m_victim).*scenario.m_fault = true;
+    }
+    if (time == scenario.m_fault_at + kPauseTime) {
+      fleet.FaultsOf(scenario.m_victim).m_is_paused = false;
     }
     if (time == scenario.m_change_at) {
       fleet.Put(kKey, kNew);
     }
     fleet.RunFor(kStep);
     for (size_t vm = 0; vm <= scenario.m_vms; ++vm) {
-      const bool is_cut = vm == scenario.m_cut && time >= scenario.m_cut_at;
+      const bool is_victim =
+          vm == scenario.m_victim && time >= scenario.m_fault_at;
       const bool is_running = vm < scenario.m_vms || time >= scenario.m_join_at;
       const bool is_checked = time >= scenario.m_change_at && is_running &&
-                              !is_cut && !fleet.Follower(vm).IsLoading();
+                              !is_victim && !fleet.Follower(vm).IsLoading();
       if (is_checked && fleet.HasValue(vm, kKey, kOld)) {
         longest = time + kStep - scenario.m_change_at;
       }
@@ -72,22 +79,26 @@
   return longest;
 }
 
-/// The worst case over all moments of the cut relative to the join.
+/// The worst case over all VMs and all moments of the fault.
 struct WorstCase {
   JoinScenario m_scenario;
   Duration m_longest{};
 };
 
-WorstCase FindWorst(size_t vms, Duration join_at, Duration change_after_cut) {
+WorstCase FindWorst(size_t vms,
+                    bool VmFaults::*fault,
+                    Duration change_after_fault) {
+  constexpr Duration kJoinAt = seconds(6);
   WorstCase worst;
-  for (Duration cut = join_at - kUnnoticedCutTime;
-       cut <= join_at + milliseconds(600); cut += milliseconds(100)) {
+  for (Duration fault_at = kJoinAt - kUnnoticedCutTime;
+       fault_at <= kJoinAt + milliseconds(600); fault_at += milliseconds(100)) {
     for (size_t victim = 0; victim < vms; ++victim) {
       const JoinScenario scenario{.m_vms = vms,
-                                  .m_cut = victim,
-                                  .m_join_at = join_at,
-                                  .m_cut_at = cut,
-                                  .m_change_at = cut + change_after_cut};
+                                  .m_victim = victim,
+                                  .m_fault = fault,
+                                  .m_join_at = kJoinAt,
+                                  .m_fault_at = fault_at,
+                                  .m_change_at = fault_at + change_after_fault};
       const Duration longest = LongestOldValue(scenario);
       if (longest > worst.m_longest) {
         worst = {scenario, longest};
@@ -98,20 +109,20 @@
 }
 
 void Report(const JoinScenario& scenario, Duration longest) {
-  const auto after_join = scenario.m_cut_at - scenario.m_join_at;
-  const auto after_cut = scenario.m_change_at - scenario.m_cut_at;
+  const auto after_join = scenario.m_fault_at - scenario.m_join_at;
+  const auto after_fault = scenario.m_change_at - scenario.m_fault_at;
   cr_expect_leq(longest, kBound,
-                "%zu VMs, VM %zu cut off %ld ms after the join, change %ld ms "
-                "after the cut: old value for %ld ms",
-                scenario.m_vms, scenario.m_cut,
+                "%zu VMs, fault of VM %zu %ld ms after the join, change %ld ms "
+                "after it: old value for %ld ms",
+                scenario.m_vms, scenario.m_victim,
                 static_cast<long>(after_join / milliseconds(1)),
-                static_cast<long>(after_cut / milliseconds(1)),
+                static_cast<long>(after_fault / milliseconds(1)),
                 static_cast<long>(longest / milliseconds(1)));
 }
 
-void ExpectWithinBound(size_t vms) {
+void ExpectWithinBound(size_t vms, bool VmFaults::*fault) {
   for (const Duration change : {milliseconds(20), milliseconds(500)}) {
-    const WorstCase worst = FindWorst(vms, seconds(6), change);
+    const WorstCase worst = FindWorst(vms, fault, change);
     Report(worst.m_scenario, worst.m_longest);
   }
 }
@@ -121,14 +132,23 @@
 // Guards against a VM that joins and takes the copy of the only other VM of its
 // failure domain for current, although the store no longer answers that VM.
 Test(StoreJoin, OnlyOtherVmCutUnnoticed_ConfigurationChanges_IsInForceInTime) {
-  ExpectWithinBound(1);
+  ExpectWithinBound(1, &VmFaults::m_is_cut_off_from_store);
 }
 
 // Guards against VMs that give up their own watch when another one joins, and
 // follow a VM that waits in a long watch which is never answered.
 Test(StoreJoin, RelayCutUnnoticed_ConfigurationChanges_IsInForceInTime) {
   for (size_t vms = 2; vms <= 4; ++vms) {
-    ExpectWithinBound(vms);
+    ExpectWithinBound(vms, &VmFaults::m_is_cut_off_from_store);
+  }
+}
+
+// Guards against followers that take the copy of a VM which was paused, or
+// whose replies are lost, for current.
+Test(StoreJoin, RelayPausedOrSilent_ConfigurationChanges_IsInForceInTime) {
+  for (size_t vms = 1; vms <= 3; ++vms) {
+    ExpectWithinBound(vms, &VmFaults::m_is_paused);
+    ExpectWithinBound(vms, &VmFaults::m_drops_answers);
   }
 }
 
@@ -138,9 +158,9 @@
   for (size_t vms = 1; vms <= 4; ++vms) {
     for (size_t victim = 0; victim < vms; ++victim) {
       const JoinScenario scenario{.m_vms = vms,
-                                  .m_cut = victim,
+                                  .m_victim = victim,
                                   .m_join_at = seconds(6),
-                                  .m_cut_at = seconds(6) - kNoticedCutTime,
+                                  .m_fault_at = seconds(6) - kNoticedCutTime,
                                   .m_change_at = seconds(2)};
       Report(scenario, LongestOldValue(scenario));
     }
