--- a/tests/feed_relay_test.cc
+++ b/tests/feed_relay_test.cc
@@ -68,6 +68,7 @@
   cr_assert_eq(g_fixture->m_answers.size(), 1U);
   cr_expect(g_fixture->m_answers[0].m_batch->Events().empty());
   cr_expect_eq(g_fixture->m_answers[0].m_age, Duration(seconds(1)));
+  cr_expect_eq(g_fixture->m_answers[0].m_held, Duration(seconds(1)));
 }
 
 // A follower that has read later than its relay is ahead of it. It must neither
@@ -138,6 +139,7 @@
   reply.m_end = FeedOutcome::kDone;
   reply.m_revision = Revision(12);
   reply.m_age = milliseconds(250);
+  reply.m_held = milliseconds(120);
   reply.m_is_store_lost = true;
   reply.m_time_since_outage = Duration::zero();
   const StoreItem sent{"k\xff", std::string("\0\x80\xff", 3), Revision(12),
@@ -154,6 +156,7 @@
   cr_expect_eq(events[0].m_value, sent.m_value);
   cr_expect(events[0].m_removed);
   cr_expect_eq(read.m_age, reply.m_age);
+  cr_expect_eq(read.m_held, reply.m_held);
   cr_expect(read.m_is_store_lost);
   cr_expect(read.m_time_since_outage.has_value());
 }
