--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -82,7 +82,10 @@
   const RouteRule* route =
       m_index->Find(request.m_facts.m_host, request.m_facts.m_path);
   if (route == nullptr) {
-    return SteerRefusal::kNoRoute;
+    // A client does not retry after status 404, although a VM with a newer
+    // table may have the route.
+    return m_picker.IsDataStale() ? SteerRefusal::kTableMayBeOld
+                                  : SteerRefusal::kNoRoute;
   }
   request.m_table = m_table;
   request.m_route = route;
--- a/tests/steering_test.cc
+++ b/tests/steering_test.cc
@@ -28,6 +28,17 @@
   cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kNoRoute);
 }
 
+// Guards against a VM that does not know the newest routes and ends requests
+// for them with 404, after which callers do not try another VM.
+Test(Steering, CutOffFromStore_UnknownRoute_IsRefusedAsRetriable) {
+  g_fixture->m_steering.SetDataStale(true);
+  g_fixture->Arrive("/added/x");
+  cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kTableMayBeOld);
+  g_fixture->m_steering.SetDataStale(false);
+  g_fixture->Arrive("/added/x");
+  cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kNoRoute);
+}
+
 // All weights of a split are zero. The request must still be served.
 Test(Steering, Split_AllWeightsZero_IsStillServed) {
   RouteRule route = MakeRoute("/read/", true);
