--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -282,6 +282,10 @@
   m_store.PutText(platform::kConfigKey, config.dump());
 }
 
+Duration SoakEnvironment::ConfigBound() {
+  return Bound(kConfigApplyS);
+}
+
 void SoakEnvironment::PutServerEntry(const SoakServer& server,
                                      const char* state) {
   m_store.PutText(platform::kServerPrefix + server.Instance(),
@@ -407,7 +411,9 @@
   vm.m_is_exit_expected = false;
   vm.m_stop_time = TimePoint::max();
   MarkUnstable(vm, milliseconds(500));
-  ScheduleAfter(milliseconds(300), [&vm] {
+  const Duration away =
+      std::max<Duration>(vm.m_away_until - SteadyNow(), milliseconds(300));
+  ScheduleAfter(away, [&vm] {
     if (!vm.m_child->IsRunning()) {
       ++vm.m_starts;
       vm.m_child->Start();
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -81,6 +81,10 @@
   void ResetServer(Random& random);
   void SilenceServer(Random& random);
   void CutVmFromStore(Random& random);
+  /// One or two VMs of a failure domain end and return after their entries have
+  /// expired. About then the store stops answering another VM of the domain,
+  /// and the configuration changes.
+  void JoinBesideCutVm(Random& random);
   /// Cuts a VM, or all VMs of a failure domain, off from all servers. Their
   /// open connections to servers are reset or live on; new ones are reset.
   void CutVmsFromServers(Random& random);
@@ -124,6 +128,8 @@
     int m_settings_number = 0;
     int m_starts = 0;
     TimePoint m_paused_until{};
+    /// After its exit it is not started before this time.
+    TimePoint m_away_until{};
   };
 
   void WriteSettings(Vm& vm);
@@ -135,6 +141,10 @@
   void PutServerEntry(const SoakServer& server, const char* state);
   void RestartServer(SoakServer& server, const std::string& service);
   void StoreFault(const std::string& faults, Duration time);
+  /// Kills the VM's process.
+  void EndVm(Vm& vm);
+  /// Time after which a change must be in force, with the tolerance.
+  static Duration ConfigBound();
   void Poll();
   void PollVm(Vm& vm);
   void OnRun(const std::string& id, SoakServer& server);
@@ -164,6 +174,12 @@
   /// served about as well as those of the others. VMs with another disturbance
   /// do not count.
   void CheckServedWhileCut(TimePoint began, TimePoint ended);
+  /// Records a breach for each VM without disturbance that does not have the
+  /// routes of the version, unless a later version was written.
+  void CheckVersionInForce(const std::string& domain, uint64_t version);
+  /// Sends a request for the newest route to the VM.
+  void RequestNewestRoute(const Vm& vm,
+                          std::function<void(const std::string&, int)> done);
   /// Records how a request ended; returns whether it was answered.
   bool RecordResult(const std::string& id, const HttpResult& result);
   void OnAttemptResult(const std::string& id, const HttpResult& result);
@@ -199,6 +215,7 @@
   std::set<std::string> m_up_to_date;
   uint64_t m_route_probes = 0;
   bool m_is_restoring = false;
+  bool m_is_joining = false;
   uint64_t m_next_instance = 1;
   int m_crashing_paths = 0;
   /// When the store entry of an instance was set to draining, or the evacuation
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -1,9 +1,12 @@
 /// @file soak_faults.cc Planned operations and faults of the environment.
 
+#include <algorithm>
 #include <csignal>
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "net/http_client.h"
 #include "platform/wire_names.h"
@@ -29,6 +32,10 @@
 /// The entry of a crashed server is removed after this time: three missed
 /// heartbeats.
 constexpr Duration kEntryLifetime = milliseconds(4500);
+/// The entry of a VM that ended is removed within this time.
+constexpr Duration kVmEntryExpiry = milliseconds(4500);
+/// How long the store does not answer a VM beside which another one joins.
+constexpr Duration kJoinCutTime = seconds(6);
 /// A running server writes its entry again within this time.
 constexpr Duration kHeartbeat = milliseconds(1500);
 /// A server that a request crashed, or that announced its leaving, restarts
@@ -101,21 +108,22 @@
   vm.m_child->Signal(SIGHUP);
 }
 
-void SoakEnvironment::KillVm(Random& random) {
-  Vm& vm = RandomVm(random);
+void SoakEnvironment::EndVm(Vm& vm) {
   vm.m_is_exit_expected = true;
   vm.m_is_paused = false;
   vm.m_stop_time = TimePoint::max();
-  MarkUnstable(vm, seconds(1));
   vm.m_child->Signal(SIGKILL);
 }
 
+void SoakEnvironment::KillVm(Random& random) {
+  Vm& vm = RandomVm(random);
+  MarkUnstable(vm, seconds(1));
+  EndVm(vm);
+}
+
 void SoakEnvironment::KillAllVms(Random&) {
   for (Vm& vm : m_vms) {
-    vm.m_is_exit_expected = true;
-    vm.m_is_paused = false;
-    vm.m_stop_time = TimePoint::max();
-    vm.m_child->Signal(SIGKILL);
+    EndVm(vm);
   }
   MarkAllUnstable(seconds(1));
 }
@@ -390,6 +398,67 @@
   });
 }
 
+void SoakEnvironment::JoinBesideCutVm(Random& random) {
+  if (m_is_joining) {
+    return;
+  }
+  const Vm& first = RandomVm(random);
+  std::vector<Vm*> domain;
+  for (Vm& vm : m_vms) {
+    if (vm.m_domain == first.m_domain) {
+      domain.push_back(&vm);
+    }
+  }
+  std::shuffle(domain.begin(), domain.end(), random);
+  m_is_joining = true;
+  const TimePoint join_at = SteadyNow() + kVmEntryExpiry;
+  Vm& victim = *domain.back();
+  const size_t joining = 1 + random() % (domain.size() - 1);
+  for (size_t vm = 0; vm < joining; ++vm) {
+    domain[vm]->m_away_until = join_at;
+    EndVm(*domain[vm]);
+  }
+  const Duration cut_at =
+      kVmEntryExpiry + RandomDuration(random, -seconds(1), milliseconds(600));
+  const Duration change_at =
+      cut_at + RandomDuration(random, milliseconds(50), milliseconds(600));
+  ScheduleAfter(cut_at, [this, &victim] {
+    MarkUnstable(victim, kJoinCutTime);
+    victim.m_store_proxy->SetFault(LinkFault::kDropAll);
+  });
+  ScheduleAfter(change_at, [this, name = first.m_domain] {
+    PutConfig();
+    ScheduleAfter(ConfigBound(), [this, name, version = m_version] {
+      CheckVersionInForce(name, version);
+    });
+  });
+  ScheduleAfter(cut_at + kJoinCutTime, [this, &victim] {
+    victim.m_store_proxy->SetFault(LinkFault::kNone);
+    victim.m_store_proxy->ResetAll();
+    m_is_joining = false;
+  });
+}
+
+void SoakEnvironment::CheckVersionInForce(const std::string& domain,
+                                          uint64_t version) {
+  for (const Vm& vm : m_vms) {
+    const bool is_checked = m_options.m_checks_times && vm.m_domain == domain &&
+                            vm.m_child->IsRunning() && IsStable(vm) &&
+                            m_version == version;
+    if (!is_checked) {
+      continue;
+    }
+    RequestNewestRoute(vm, [this, version, name = vm.m_name](
+                               const std::string& id, int status) {
+      if (status == 404 && m_version == version) {
+        m_ledger.Breach("configuration", id,
+                        "on a route of version " + std::to_string(version) +
+                            " got 404 from " + name);
+      }
+    });
+  }
+}
+
 void SoakEnvironment::CutVmsFromServers(Random& random) {
   const bool is_cut_now =
       std::any_of(m_vms.begin(), m_vms.end(),
@@ -511,35 +580,47 @@
 }
 
 void SoakEnvironment::ProbeNewestRoute() {
-  const ProxyHeaderNames names = platform::HeaderNames();
   for (const Vm& vm : m_vms) {
     if (!vm.m_child->IsRunning() || m_up_to_date.contains(vm.m_name)) {
       continue;
     }
-    const std::string id = "added-" + std::to_string(++m_route_probes);
-    const std::string path = "/added" + std::to_string(m_version) + "/" + id;
-    m_ledger.RecordSent(id, {.m_vm = vm.m_name,
-                             .m_path = path,
-                             .m_body = "",
-                             .m_organisation = kUnlimitedOrganisation});
-    HttpFetch fetch;
-    fetch.m_url = "http://" + CallerAddress(vm) + path;
-    fetch.m_headers = {
-        {"Host", "soak.example"},
-        {names.m_request_id, id},
-        {names.m_deadline_ms, "2000"},
-        {names.m_credentials, std::string("Bearer ") + kUnlimitedKey}};
-    fetch.m_fresh_connection = true;
-    fetch.m_close_connection = true;
-    m_http.Start(std::move(fetch), [this, id, name = vm.m_name](
-                                       const HttpResult& result) {
-      if (RecordResult(id, result) && result.m_response.m_status != 404) {
-        m_up_to_date.insert(name);
-      }
-    });
+    RequestNewestRoute(
+        vm, [this, name = vm.m_name](const std::string&, int status) {
+          // A VM whose table may be old answers 503 for an unknown route.
+          if (status != 404 && status != 503) {
+            m_up_to_date.insert(name);
+          }
+        });
   }
 }
 
+void SoakEnvironment::RequestNewestRoute(
+    const Vm& vm,
+    std::function<void(const std::string&, int)> done) {
+  const ProxyHeaderNames names = platform::HeaderNames();
+  const std::string id = "added-" + std::to_string(++m_route_probes);
+  const std::string path = "/added" + std::to_string(m_version) + "/" + id;
+  m_ledger.RecordSent(id, {.m_vm = vm.m_name,
+                           .m_path = path,
+                           .m_body = "",
+                           .m_organisation = kUnlimitedOrganisation});
+  HttpFetch fetch;
+  fetch.m_url = "http://" + CallerAddress(vm) + path;
+  fetch.m_headers = {
+      {"Host", "soak.example"},
+      {names.m_request_id, id},
+      {names.m_deadline_ms, "2000"},
+      {names.m_credentials, std::string("Bearer ") + kUnlimitedKey}};
+  fetch.m_fresh_connection = true;
+  fetch.m_close_connection = true;
+  m_http.Start(std::move(fetch),
+               [this, id, done = std::move(done)](const HttpResult& result) {
+                 if (RecordResult(id, result)) {
+                   done(id, result.m_response.m_status);
+                 }
+               });
+}
+
 bool SoakEnvironment::IsNewestRouteInForce() const {
   return std::all_of(m_vms.begin(), m_vms.end(), [this](const Vm& vm) {
     return !vm.m_child->IsRunning() || m_up_to_date.contains(vm.m_name);
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -38,6 +38,7 @@
     {"reset_server", false, &SoakEnvironment::ResetServer},
     {"silence_server", false, &SoakEnvironment::SilenceServer},
     {"cut_vm_from_store", false, &SoakEnvironment::CutVmFromStore},
+    {"join_beside_cut_vm", false, &SoakEnvironment::JoinBesideCutVm},
     {"cut_vms_from_servers", false, &SoakEnvironment::CutVmsFromServers},
     {"store_refuses", false, &SoakEnvironment::StoreRefuses},
     {"store_is_silent", false, &SoakEnvironment::StoreIsSilent},
