--- a/tests/store_join_test.cc
+++ b/tests/store_join_test.cc
@@ -3,8 +3,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
-#include <optional>
 #include <string>
 
 #include "tests/store_fleet.h"
@@ -20,10 +18,10 @@
 /// A VM notices after this time at the latest that the store stopped answering:
 /// a watch of 3 s, its timeout margin and a pause before it.
 constexpr Duration kUnnoticedCutTime = milliseconds(3800);
-/// A paused VM continues after this time.
-constexpr Duration kPauseTime = seconds(3);
 /// After this time it has noticed that, and told its followers.
 constexpr Duration kNoticedCutTime = seconds(5);
+/// A paused VM continues after this time.
+constexpr Duration kPauseTime = seconds(3);
 constexpr const char* kKey = "op/config";
 constexpr const char* kOld = "old";
 constexpr const char* kNew = "new";
@@ -108,7 +106,7 @@
   return worst;
 }
 
-void Report(const JoinScenario& scenario, Duration longest) {
+void ExpectInForceInTime(const JoinScenario& scenario, Duration longest) {
   const auto after_join = scenario.m_fault_at - scenario.m_join_at;
   const auto after_fault = scenario.m_change_at - scenario.m_fault_at;
   cr_expect_leq(longest, kBound,
@@ -120,10 +118,10 @@
                 static_cast<long>(longest / milliseconds(1)));
 }
 
-void ExpectWithinBound(size_t vms, bool VmFaults::*fault) {
+void ExpectWorstInTime(size_t vms, bool VmFaults::*fault) {
   for (const Duration change : {milliseconds(20), milliseconds(500)}) {
     const WorstCase worst = FindWorst(vms, fault, change);
-    Report(worst.m_scenario, worst.m_longest);
+    ExpectInForceInTime(worst.m_scenario, worst.m_longest);
   }
 }
 
@@ -132,14 +130,14 @@
 // Guards against a VM that joins and takes the copy of the only other VM of its
 // failure domain for current, although the store no longer answers that VM.
 Test(StoreJoin, OnlyOtherVmCutUnnoticed_ConfigurationChanges_IsInForceInTime) {
-  ExpectWithinBound(1, &VmFaults::m_is_cut_off_from_store);
+  ExpectWorstInTime(1, &VmFaults::m_is_cut_off_from_store);
 }
 
 // Guards against VMs that give up their own watch when another one joins, and
 // follow a VM that waits in a long watch which is never answered.
 Test(StoreJoin, RelayCutUnnoticed_ConfigurationChanges_IsInForceInTime) {
   for (size_t vms = 2; vms <= 4; ++vms) {
-    ExpectWithinBound(vms, &VmFaults::m_is_cut_off_from_store);
+    ExpectWorstInTime(vms, &VmFaults::m_is_cut_off_from_store);
   }
 }
 
@@ -147,8 +145,8 @@
 // whose replies are lost, for current.
 Test(StoreJoin, RelayPausedOrSilent_ConfigurationChanges_IsInForceInTime) {
   for (size_t vms = 1; vms <= 3; ++vms) {
-    ExpectWithinBound(vms, &VmFaults::m_is_paused);
-    ExpectWithinBound(vms, &VmFaults::m_drops_answers);
+    ExpectWorstInTime(vms, &VmFaults::m_is_paused);
+    ExpectWorstInTime(vms, &VmFaults::m_drops_answers);
   }
 }
 
@@ -162,7 +160,7 @@
                                   .m_join_at = seconds(6),
                                   .m_fault_at = seconds(6) - kNoticedCutTime,
                                   .m_change_at = seconds(2)};
-      Report(scenario, LongestOldValue(scenario));
+      ExpectInForceInTime(scenario, LongestOldValue(scenario));
     }
   }
 }
