--- a/tests/store_fleet.cc
+++ b/tests/store_fleet.cc
@@ -224,8 +224,13 @@
   read.m_end = StoreOutcome::kDone;
   read.m_revision = Revision(m_revision, read.m_era);
   for (const StoreItem& event : m_history) {
-    if (event.m_revision.Get() > revision.Get()) {
-      read.m_items.push_back(InEra(event, read.m_era));
+    if (event.m_revision.Get() <= revision.Get()) {
+      continue;
+    }
+    read.m_items.push_back(InEra(event, read.m_era));
+    if (read.m_items.size() == m_max_watch_events) {
+      read.m_revision = read.m_items.back().m_revision;
+      break;
     }
   }
   return read;
--- a/tests/store_fleet.h
+++ b/tests/store_fleet.h
@@ -4,6 +4,7 @@
 #ifndef SORRELPLANK_TESTS_STORE_FLEET_H_
 #define SORRELPLANK_TESTS_STORE_FLEET_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,8 @@
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   void DiscardHistory();
+  /// Limits the events in one response to a watch.
+  void SetMaxWatchEvents(size_t count) { m_max_watch_events = count; }
   /// Returns the store to its state before the last `changes` changes; it gives
   /// out their revisions again.
   void RestoreOlderCopy(size_t changes);
@@ -128,6 +131,7 @@
   /// All changes; not affected by DiscardHistory().
   std::vector<StoreItem> m_all_changes;
   uint64_t m_era = 1;
+  size_t m_max_watch_events = SIZE_MAX;
   bool m_is_store_refusing = false;
   bool m_is_store_silent = false;
   std::vector<std::unique_ptr<Vm>> m_vms;
--- a/tests/store_fleet_test.cc
+++ b/tests/store_fleet_test.cc
@@ -37,13 +37,14 @@
                   static_cast<long>(took / milliseconds(1)));
   }
 
-  /// Number of calls of all VMs during a time in which ten servers a second
-  /// join or leave.
-  uint64_t CallsWhileServersChange(Duration time) {
+  /// Number of calls of all VMs during a time in which servers join or leave,
+  /// ten of them a second unless another interval is given.
+  uint64_t CallsWhileServersChange(Duration time,
+                                   Duration interval = milliseconds(100)) {
     const uint64_t before = m_fleet.Calls();
-    for (Duration passed{}; passed < time; passed += milliseconds(100)) {
+    for (Duration passed{}; passed < time; passed += interval) {
       m_fleet.Put("servers/new-" + std::to_string(++m_version), "ready");
-      m_fleet.RunFor(milliseconds(100));
+      m_fleet.RunFor(interval);
     }
     return m_fleet.Calls() - before;
   }
@@ -323,6 +324,30 @@
   }
 }
 
+// The store refuses every third VM for nine seconds, in which servers join and
+// leave, and gives out at most 50 events at a time. Guards against VMs that,
+// after each batch, wait for further changes although many are left.
+Test(StoreFleet, VmsRefusedForLong_EventsInBatches_CatchUpWithinTheBound) {
+  StoreFleet& fleet = g_fixture->m_fleet;
+  fleet.SetMaxWatchEvents(50);
+  for (size_t vm = 0; vm < fleet.Size(); vm += 3) {
+    fleet.FaultsOf(vm).m_is_refused_by_store = true;
+  }
+  for (const size_t relay : fleet.Watchers()) {
+    fleet.FaultsOf(relay).m_is_refused_by_store = true;
+  }
+  g_fixture->CallsWhileServersChange(seconds(9), milliseconds(22));
+  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
+    fleet.FaultsOf(vm).m_is_refused_by_store = false;
+  }
+  fleet.Put("op/config", "after the outage");
+  g_fixture->CallsWhileServersChange(kBound, milliseconds(22));
+  for (size_t vm = 0; vm < fleet.Size(); ++vm) {
+    cr_expect(fleet.HasValue(vm, "op/config", "after the outage"), "VM %zu",
+              vm);
+  }
+}
+
 /// Writes some versions of the configuration, and lets the store come back from
 /// a copy without the last ones after an outage.
 void RestoreWithout(StoreFleet& fleet, size_t changes) {
