--- a/review/kit/deployment.h
+++ b/review/kit/deployment.h
@@ -8,8 +8,8 @@
 
 namespace kit {
 
-inline const std::vector<Zone> kZones = {{"waw-zoliborz", "mazowsze"},
-                                         {"krk-nowa-huta", "malopolska"}};
+inline const std::vector<Zone> kZones = {{"vantaa-a", "uusimaa"},
+                                         {"tampere-a", "pirkanmaa"}};
 
 inline ServerEntry MakeEntry(const std::string& id,
                              const std::string& service,
--- a/review/kit/kit.h
+++ b/review/kit/kit.h
@@ -556,7 +556,7 @@
   std::vector<Zone> zones;
   std::string ip;
   Address store;
-  // Bounds of the site trasa-rejestr.
+  // Bounds of the small sites.
   double grace_s = 6;
   std::string extra;  // more fields, each with a comma before it
 };
