--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -8,9 +8,9 @@
 
 namespace {
 
-// Levels of the nested list; the value stays under half of ValueBytes
+// Levels of the nested list; the value stays below ValueBytes
 // (1,048,576).
-constexpr size_t kLevels = 200000;
+constexpr size_t kLevels = 400000;
 // A process that ended is started again after this delay.
 constexpr int kRestartDelayMs = 500;
 constexpr int kClients = 12;
