A VM that the store refuses follows it through any VM in step

A VM asked the relays of its own failure domain and the store; in domains of fewer than three VMs, the store only.

Now it asks the relays of all domains in turn between its own attempts, also those that the store ceased to list within 15 s, since it drops the entries of VMs that it refuses. Only VMs that watch the store themselves answer, as before, so no cycle can form.

StoreFallback DomainRefusedByStore_*: before, the domain had no change until the store answered it again.

Ruled out: asking the store more often (each call is paid for, refused ones too); news of cold servers by datagram (large fleets exchange them within a region only).

--- a/tests/store_fleet.cc
+++ b/tests/store_fleet.cc
@@ -45,7 +45,7 @@
     vm->m_member = {.m_vm = "vm-" + std::to_string(number),
                     .m_client_address = FormatIp(vm->m_address.m_ip) + ":80",
                     .m_failure_domain = "d" + std::to_string(number % domains),
-                    .m_region = "r"};
+                    .m_region = "r" + std::to_string(number % domains / 2)};
     m_vms.push_back(std::move(vm));
   }
 }
@@ -134,7 +134,7 @@
       fleet.push_back(DecodeMember(item.m_value));
     }
   }
-  vm.m_follower->SetChoice(ChooseRelays(fleet, vm.m_member, kFeedPort));
+  vm.m_follower->SetChoice(ChooseRelays(fleet, vm.m_member, kFeedPort), Now());
 }
 
 void StoreFleet::RunAfter(Vm& vm, Duration delay, std::function<void()> step) {
