Divide what VMs behind the store send to a server by its region

Cause: each VM behind the store sent at most half of the bound divided by half of the VMs of its own region, and at least one request a second. VMs of other regions send to the server as well, and with many VMs the least of one alone is more than the bound. The class: a bound over all VMs, held by parts that do not sum to it.

Now the parts sum by construction: the VMs of the server's region share that half, its remainder goes to the first ones of a hash order, others send none. That holds for a VM that takes the server for its own cold one, too. While VMs of other regions hear nothing of the store either, the old limit stays: the store takes no change then that a VM could miss.

--- a/src/steer/cold_server_assignment.cc
+++ b/src/steer/cold_server_assignment.cc
@@ -14,8 +14,8 @@
 
 namespace {
 
-/// Cache size; a full cache is cleared and filled again on demand.
-constexpr size_t kMaxCachedAssignments = 16384;
+/// Size of each cache; a full one is cleared and filled again on demand.
+constexpr size_t kMaxCachedRanks = 16384;
 
 uint64_t Weight(uint64_t seed, const std::string& name) {
   return XXH3_64bits_withSeed(name.data(), name.size(), seed);
@@ -71,40 +71,66 @@
   if (!domain->second.m_vms.empty()) {
     return domain->second;
   }
-  const Group& region = m_by_region.at(m_regions.at(failure_domain));
-  return region.m_vms.empty() ? m_all : region;
+  return RegionGroupOf(failure_domain);
+}
+
+const ColdServerAssignment::Group& ColdServerAssignment::RegionGroupOf(
+    const std::string& failure_domain) const {
+  const auto region = m_regions.find(failure_domain);
+  if (region == m_regions.end()) {
+    return m_all;
+  }
+  const Group& group = m_by_region.at(region->second);
+  return group.m_vms.empty() ? m_all : group;
 }
 
 bool ColdServerAssignment::IsAssignedHere(const ServerEntry& server) {
   const Group& group = GroupOf(server.m_failure_domain);
-  const auto known = m_cached.find(server.m_instance);
-  const bool is_known = known != m_cached.end() &&
+  return !group.m_vms.empty() && RankIn(group, server, m_ranks) == 0;
+}
+
+uint32_t ColdServerAssignment::ShareOf(const ServerEntry& server,
+                                       uint32_t limit) {
+  const Group& group = RegionGroupOf(server.m_failure_domain);
+  const size_t rank = RankIn(group, server, m_region_ranks);
+  const auto vms = static_cast<uint32_t>(group.m_vms.size());
+  if (rank >= vms) {
+    return 0;
+  }
+  return limit / vms + (rank < limit % vms ? 1 : 0);
+}
+
+size_t ColdServerAssignment::RankIn(const Group& group,
+                                    const ServerEntry& server,
+                                    RankCache& cache) {
+  const auto known = cache.find(server.m_instance);
+  const bool is_known = known != cache.end() &&
                         known->second.m_group == &group &&
                         known->second.m_generation == group.m_generation;
   if (is_known) {
-    return known->second.m_is_assigned_here;
+    return known->second.m_rank;
   }
-  if (m_cached.size() >= kMaxCachedAssignments) {
-    m_cached.clear();
+  if (cache.size() >= kMaxCachedRanks) {
+    cache.clear();
   }
-  const bool is_own = ComputeIsAssignedHere(server, group);
-  m_cached[server.m_instance] = {&group, group.m_generation, is_own};
-  return is_own;
+  const size_t rank = ComputeRank(group, server);
+  cache[server.m_instance] = {&group, group.m_generation, rank};
+  return rank;
 }
 
-bool ColdServerAssignment::ComputeIsAssignedHere(const ServerEntry& server,
-                                                 const Group& group) {
+size_t ColdServerAssignment::ComputeRank(const Group& group,
+                                         const ServerEntry& server) {
   const bool is_among_them = std::find(group.m_vms.begin(), group.m_vms.end(),
                                        m_own_vm) != group.m_vms.end();
   if (!is_among_them) {
-    return false;
+    return group.m_vms.size();
   }
   m_weights_computed += group.m_vms.size();
   const uint64_t own = NameWeight(server.m_instance, m_own_vm);
-  return std::none_of(group.m_vms.begin(), group.m_vms.end(),
-                      [&](const std::string& vm) {
-                        return NameWeight(server.m_instance, vm) < own;
-                      });
+  return static_cast<size_t>(std::count_if(
+      group.m_vms.begin(), group.m_vms.end(), [&](const std::string& vm) {
+        return NameWeight(server.m_instance, vm) < own;
+      }));
 }
 
 }  // namespace sorrelplank
--- a/src/steer/cold_server_assignment.h
+++ b/src/steer/cold_server_assignment.h
@@ -3,6 +3,7 @@
 #ifndef SORRELPLANK_STEER_COLD_SERVER_ASSIGNMENT_H_
 #define SORRELPLANK_STEER_COLD_SERVER_ASSIGNMENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -32,6 +33,9 @@
 
   void SetFleet(const std::vector<FleetMember>& fleet);
   bool IsAssignedHere(const ServerEntry& server);
+  /// This VM's part of a limit that the VMs of the server's region share. The
+  /// parts of all VMs sum to the limit; VMs of other regions have none.
+  uint32_t ShareOf(const ServerEntry& server, uint32_t limit);
   /// Number of weights computed so far.
   uint64_t WeightsComputed() const { return m_weights_computed; }
 
@@ -43,15 +47,24 @@
     /// Changes whenever m_vms does.
     uint64_t m_generation = 0;
   };
-  struct CachedAssignment {
+  struct CachedRank {
     const Group* m_group;
     uint64_t m_generation;
-    bool m_is_assigned_here;
+    size_t m_rank;
   };
+  /// By instance.
+  using RankCache = std::unordered_map<std::string, CachedRank>;
 
   /// The group that senders for the domain's servers are chosen from.
   const Group& GroupOf(const std::string& failure_domain) const;
-  bool ComputeIsAssignedHere(const ServerEntry& server, const Group& group);
+  /// The VMs of the domain's region; the whole fleet if it has none.
+  const Group& RegionGroupOf(const std::string& failure_domain) const;
+  /// How many VMs of the group go before this one for the server; the size of
+  /// the group if this VM is not in it.
+  size_t RankIn(const Group& group,
+                const ServerEntry& server,
+                RankCache& cache);
+  size_t ComputeRank(const Group& group, const ServerEntry& server);
   void Replace(Group& group, std::vector<std::string> vms);
 
   std::map<std::string, std::string> m_regions;
@@ -60,8 +73,9 @@
   std::map<std::string, Group> m_by_region;
   Group m_all;
   uint64_t m_next_generation = 1;
-  /// By instance.
-  std::unordered_map<std::string, CachedAssignment> m_cached;
+  /// Ranks in GroupOf() and in RegionGroupOf().
+  RankCache m_ranks;
+  RankCache m_region_ranks;
   uint64_t m_weights_computed = 0;
 };
 
--- a/src/steer/region_servers.cc
+++ b/src/steer/region_servers.cc
@@ -63,9 +63,7 @@
   return slots;
 }
 
-RegionLoad RegionServers::Measure(const ServerPicker& picker,
-                                  const ServiceRules& rules,
-                                  TimePoint now) {
+RegionLoad RegionServers::Measure(const ServerPicker& picker, TimePoint now) {
   RegionLoad region;
   for (const auto& [domain, slots] : m_slots) {
     if (picker.IsEvacuated(domain)) {
@@ -90,7 +88,7 @@
     }
     const bool is_counted_reachable =
         !picker.IsBreakerOpen(entry.m_failure_domain, now);
-    if (is_counted_reachable && !picker.IsReachable(*server, rules, now)) {
+    if (is_counted_reachable && !picker.IsReachable(*server, now)) {
       region.m_reachable_slots -= entry.m_slots;
     }
   }
--- a/src/steer/region_servers.h
+++ b/src/steer/region_servers.h
@@ -19,7 +19,6 @@
 class ServerPicker;
 class ServerState;
 struct ServerEntry;
-struct ServiceRules;
 
 /// Maintains sums of slots and loads as servers change, so that measuring the
 /// region only examines the few servers with a special status or a recent
@@ -47,9 +46,7 @@
     return m_object_ranking.TopServers(object, m_all);
   }
 
-  RegionLoad Measure(const ServerPicker& picker,
-                     const ServiceRules& rules,
-                     TimePoint now);
+  RegionLoad Measure(const ServerPicker& picker, TimePoint now);
 
   /// Slots of all servers, whether they can be sent to or not.
   double RegisteredSlots() const;
--- a/src/steer/server_picker.cc
+++ b/src/steer/server_picker.cc
@@ -21,11 +21,9 @@
 /// While views of the fleet differ, two entry VMs may both consider themselves
 /// the sender; so each one stays below half of the limit.
 constexpr double kColdLimitFraction = 0.5;
-/// Fraction of a region's VMs that are assumed to have stale data at the same
-/// time. Servers may become cold without these VMs noticing. They share the
-/// half of the limit that is left by the VM which the cold server is assigned
-/// to.
-constexpr double kStaleVmsFraction = 0.5;
+/// Fraction of a region's VMs that are assumed to send to the same server
+/// during an outage of the store.
+constexpr double kOutageVmsFraction = 0.5;
 /// A VM that has just joined sees the other members late and might consider
 /// itself the only one until then. Longer than the store's slowest watch.
 constexpr Duration kMinMembershipForCold = seconds(2);
@@ -116,12 +114,10 @@
   return it != m_breakers.end() && it->second.IsOpen(now);
 }
 
-bool ServerPicker::IsReachable(const ServerState& server,
-                               const ServiceRules& rules,
-                               TimePoint now) const {
+bool ServerPicker::IsReachable(const ServerState& server, TimePoint now) const {
   return MaySend(server, now) &&
          !IsBreakerOpen(server.Entry().m_failure_domain, now) &&
-         RateLimit(server, rules, now) != 0U;
+         !(server.IsCold(now) && !IsAssignedColdServer(server, now));
 }
 
 bool ServerPicker::ShouldAvoid(const ServerState& server,
@@ -260,18 +256,23 @@
 std::optional<uint32_t> ServerPicker::RateLimit(const ServerState& server,
                                                 const ServiceRules& rules,
                                                 TimePoint now) const {
+  const bool is_limited_when_stale =
+      m_is_data_stale && rules.m_cold_per_second > 0;
+  if (is_limited_when_stale && !m_is_store_away_for_all) {
+    return m_cold_assignment.ShareOf(server.Entry(), ColdLimit(rules));
+  }
   if (server.IsCold(now)) {
     return IsAssignedColdServer(server, now) ? ColdLimit(rules) : 0;
   }
-  if (m_is_data_stale && rules.m_cold_per_second > 0) {
-    return StaleDataLimit(rules);
+  if (is_limited_when_stale) {
+    return OutageLimit(rules);
   }
   return std::nullopt;
 }
 
-uint32_t ServerPicker::StaleDataLimit(const ServiceRules& rules) const {
+uint32_t ServerPicker::OutageLimit(const ServiceRules& rules) const {
   const double stale_vms =
-      std::max(1.0, static_cast<double>(m_vms_in_region) * kStaleVmsFraction);
+      std::max(1.0, static_cast<double>(m_vms_in_region) * kOutageVmsFraction);
   return std::max(1U, static_cast<uint32_t>(ColdLimit(rules) / stale_vms));
 }
 
--- a/src/steer/server_picker.h
+++ b/src/steer/server_picker.h
@@ -78,6 +78,9 @@
   /// that changes to servers may be missing.
   void SetDataStale(bool is_stale) { m_is_data_stale = is_stale; }
   bool IsDataStale() const { return m_is_data_stale; }
+  /// Whether, while the data is stale, VMs of other regions miss changes too.
+  /// The store then takes no changes that this VM alone could miss.
+  void SetStoreAwayForAll(bool is_away) { m_is_store_away_for_all = is_away; }
 
   const std::vector<FleetMember>& Fleet() const { return m_fleet; }
   /// Number of weights computed so far to assign cold servers to VMs.
@@ -97,9 +100,7 @@
   /// Whether the server can be expected to accept requests of this VM now:
   /// MaySend() is true, the breaker of its failure domain is closed, and if it
   /// is cold, it is assigned to this VM.
-  bool IsReachable(const ServerState& server,
-                   const ServiceRules& rules,
-                   TimePoint now) const;
+  bool IsReachable(const ServerState& server, TimePoint now) const;
 
   bool IsBreakerOpen(const std::string& domain, TimePoint now) const;
 
@@ -126,6 +127,11 @@
 
   /// Requests that this VM may send to the server within any second; no value
   /// means no limit.
+  ///
+  /// A cold server gets at most half of its limit from the VM that it is
+  /// assigned to. The other half is shared by the VMs of its region while they
+  /// may have missed that it is cold: however many of them do, and whoever they
+  /// take for the assigned one, their parts sum to that half.
   std::optional<uint32_t> RateLimit(const ServerState& server,
                                     const ServiceRules& rules,
                                     TimePoint now) const;
@@ -156,7 +162,8 @@
                      TimePoint now) const;
 
   uint32_t ColdLimit(const ServiceRules& rules) const;
-  uint32_t StaleDataLimit(const ServiceRules& rules) const;
+  /// The limit while the store is away for all VMs.
+  uint32_t OutageLimit(const ServiceRules& rules) const;
   /// Whether this VM is the one that sends to the cold server.
   bool IsAssignedColdServer(const ServerState& server, TimePoint now) const;
 
@@ -170,6 +177,7 @@
   TimePoint m_member_since = TimePoint::max();
   std::set<std::string> m_evacuated;
   bool m_is_data_stale = false;
+  bool m_is_store_away_for_all = false;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steered_service.cc
+++ b/src/steer/steered_service.cc
@@ -144,7 +144,6 @@
 }
 
 void SteeredService::UpdateShares(const ServerPicker& picker,
-                                  const ServiceRules& rules,
                                   double max_shift_per_second,
                                   const MovedAwayBounds& bounds,
                                   Duration shortest_target,
@@ -154,7 +153,7 @@
   std::vector<double> slots;
   slots.reserve(m_by_region.size());
   for (RegionServers& servers : m_by_region) {
-    loads.push_back(servers.Measure(picker, rules, now));
+    loads.push_back(servers.Measure(picker, now));
     slots.push_back(servers.RegisteredSlots());
   }
   m_is_uneven = IsCapacityUneven(slots, m_uneven_capacity_ratio);
--- a/src/steer/steered_service.h
+++ b/src/steer/steered_service.h
@@ -26,7 +26,6 @@
 namespace sorrelplank {
 
 class ServerPicker;
-struct ServiceRules;
 
 /// Servers, wait queue, split over regions and rates of one service.
 class SteeredService {
@@ -71,7 +70,6 @@
   /// Measures the load of each region and shifts the split. `shortest_target`
   /// is that of the service's routes.
   void UpdateShares(const ServerPicker& picker,
-                    const ServiceRules& rules,
                     double max_shift_per_second,
                     const MovedAwayBounds& bounds,
                     Duration shortest_target,
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -310,9 +310,9 @@
     return;
   }
   for (auto& [name, service] : m_services) {
-    service->UpdateShares(
-        m_picker, RulesOf(name), m_settings.m_max_shift * kShiftRateFraction,
-        ShiftBounds(*service, now), ShortestTarget(name), now);
+    service->UpdateShares(m_picker, m_settings.m_max_shift * kShiftRateFraction,
+                          ShiftBounds(*service, now), ShortestTarget(name),
+                          now);
     const auto is_uneven = service->UnevenToLog();
     if (is_uneven) {
       m_sink(StateChanged{*is_uneven ? "capacity_uneven" : "capacity_even",
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -59,6 +59,10 @@
   /// Whether the store's data on servers and configuration can currently not be
   /// confirmed, so that changes may be missing.
   void SetDataStale(bool is_stale) { m_picker.SetDataStale(is_stale); }
+  /// Whether the store is away for VMs of other regions, too.
+  void SetStoreAwayForAll(bool is_away) {
+    m_picker.SetStoreAwayForAll(is_away);
+  }
 
   /// Replaces the limits; the VM's identity and location stay.
   void SetLimits(const SteeringSettings& settings, TimePoint now);
