Count sends to a server before it was known to be cold

A VM that had sent many requests to a server within a second, and then heard that it was cold, sent it half of the bound besides: only sends under a limit were counted. StaleFleet ServerFoundColdAfterSends_* sends one more after ten of eleven within a second before, and none now.

--- a/src/steer/server_state.cc
+++ b/src/steer/server_state.cc
@@ -259,11 +259,11 @@
 }
 
 bool ServerState::TryTakeRate(uint32_t max_per_second, TimePoint now) {
-  return m_limited_sends.TryTake(max_per_second, now);
+  return m_sends.TryTake(max_per_second, now);
 }
 
 bool ServerState::HasRateRoom(uint32_t max_per_second, TimePoint now) {
-  return m_limited_sends.Count(now) < max_per_second;
+  return m_sends.Count(now) < max_per_second;
 }
 
 }  // namespace sorrelplank
--- a/src/steer/server_state.h
+++ b/src/steer/server_state.h
@@ -140,7 +140,7 @@
   TimePoint m_last_end{};
   bool m_is_gone = false;
   ServerNotices m_notices;
-  RateWindow m_limited_sends;
+  RateWindow m_sends;
   std::unordered_map<uint64_t, TimePoint> m_objects;
 };
 
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -260,9 +260,12 @@
   if (!request.m_tried.empty() && !MayRetry(request, now)) {
     return false;
   }
-  const auto rate_limit =
-      m_picker.RateLimit(*server, RulesOf(request.m_service), now);
-  if (rate_limit && !server->TryTakeRate(*rate_limit, now)) {
+  // Sends without a limit are counted as well: when the server turns out to be
+  // cold, it has got them within the same second.
+  const uint32_t rate_limit =
+      m_picker.RateLimit(*server, RulesOf(request.m_service), now)
+          .value_or(UINT32_MAX);
+  if (!server->TryTakeRate(rate_limit, now)) {
     return false;
   }
   if (server->Notices().MaxPerSecond()) {
--- a/tests/stale_fleet_test.cc
+++ b/tests/stale_fleet_test.cc
@@ -110,5 +110,20 @@
   cr_expect_leq(worst, kColdBound, "%zu of %zu", worst, kColdBound);
 }
 
+// A VM learns that a server is cold after it sent many requests there: those
+// count too.
+Test(StaleFleet, ServerFoundColdAfterSends_ServerGetsAtMostTheBound) {
+  StaleFleetFixture fixture(1, 0);
+  SteeringFixture& vm = *fixture.m_vms.front();
+  for (size_t request = 0; request < kColdBound - 1; ++request) {
+    vm.Arrive("/read/x");
+    vm.End(*vm.Last<SendToServer>(), AttemptEnd::kAnswered);
+  }
+  vm.PutServer("a", "d1", false, seconds(3));
+  const size_t before = vm.Count<SendToServer>();
+  vm.Arrive("/read/x");
+  cr_expect_eq(vm.Count<SendToServer>(), before);
+}
+
 }  // namespace
 }  // namespace sorrelplank
