Charge a passed-on request that another VM had sent already

A VM that reaches no server passes requests on. If a server rejected one at the other VM, and that VM had no server left, it said so, and the first VM took the request for unsent and sent it elsewhere without charging its retry budget. Now the other VM says that its retries are spent.

Where the other VM had charged a retry that it could not send, the sum held all the same; where it lost its servers in between, it did not.

SteeringPeers PassedOnRequestRejected_*: no_server before, retries_spent now.

--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -57,6 +57,13 @@
                                        request.m_organisation->m_name)),
                                    refusal.m_request.Get());
   }
+  const bool was_sent_for_other_vm =
+      request.m_facts.m_passed_on && request.m_started_sends > 0;
+  if (was_sent_for_other_vm && reason == SteerRefusal::kNoServer) {
+    // That VM would take the request for unsent, and send it again without
+    // charging its retry budget.
+    reason = SteerRefusal::kRetriesSpent;
+  }
   const bool promises_not_run =
       DescribeSteerRefusal(reason).m_verdict == Verdict::kNotRun;
   if (request.m_may_have_run && promises_not_run) {
--- a/tests/steering_peers_test.cc
+++ b/tests/steering_peers_test.cc
@@ -129,6 +129,22 @@
   cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kNoServer);
 }
 
+// The other side: a server rejected the request here, and there is no other
+// one. "No server" would let the VM that passed it on send it again for free.
+Test(SteeringPeers, PassedOnRequestRejected_NoServerLeft_SaysRetriesSpent) {
+  // Requests of its own give the VM a retry budget.
+  g_fixture->AnswerForOneSecond("/read/x");
+  const size_t before = g_fixture->Count<SendToServer>();
+  for (const char* server : {"b", "c", "d"}) {
+    g_fixture->m_steering.RemoveServer(server, g_fixture->m_now);
+  }
+  g_fixture->ArriveFromPeer("/read/x",
+                            {.m_table_version = 1, .m_max_sends = 2});
+  g_fixture->End(*g_fixture->Last<SendToServer>(), AttemptEnd::kRejected);
+  cr_assert_eq(g_fixture->Count<SendToServer>(), before + 1);
+  cr_assert_eq(g_fixture->LastReason(), SteerRefusal::kRetriesSpent);
+}
+
 Test(SteeringPeers, PeerIsOverloaded_ItsRefusalIsForwarded) {
   g_fixture->LoseServers();
   g_fixture->Arrive("/write/x");
