Bound the depth of JSON that other programs write

Cause: the message of the error printed the value, by a recursion once a level. The class: input from outside sets the depth of a recursion. Copying and comparing such values recurse, too.

Now text nested more than 64 levels is refused before it is parsed: entries of the store and its answers, answers of other processes to the commands, settings and configuration.

--- a/src/cli/apply_command.cc
+++ b/src/cli/apply_command.cc
@@ -12,6 +12,7 @@
 #include "cli/command_line.h"
 #include "cli/command_type.h"
 #include "cli/folder.h"
+#include "config/json_text_func.h"
 #include "config/publish_func.h"
 
 namespace sorrelplank {
@@ -124,7 +125,7 @@
   FleetVersions versions;
   for (const VmAddress& address : via) {
     const HttpResult result = http.Get(address, "/v1/status");
-    const json status = json::parse(result.m_response.m_body, nullptr, false);
+    const json status = TryParseJsonText(result.m_response.m_body);
     if (result.m_end != FetchOutcome::kAnswered || !status.is_object()) {
       continue;
     }
--- a/src/cli/fleet_reader.cc
+++ b/src/cli/fleet_reader.cc
@@ -1,6 +1,7 @@
 /// @file fleet_reader.cc Finding and reading entry VMs.
 
 #include "cli/fleet_reader.h"
+#include "config/json_text_func.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -17,7 +18,7 @@
   if (result.m_end != FetchOutcome::kAnswered) {
     return json();
   }
-  json body = json::parse(result.m_response.m_body, nullptr, false);
+  json body = TryParseJsonText(result.m_response.m_body);
   return body.is_discarded() ? json() : body;
 }
 
--- a/src/cli/log_merge.cc
+++ b/src/cli/log_merge.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "cli/log_merge_func.h"
+#include "config/json_text_func.h"
 
 namespace sorrelplank {
 
@@ -99,7 +100,7 @@
     if (start == std::string::npos) {
       continue;
     }
-    json fields = json::parse(line.substr(start), nullptr, false);
+    json fields = TryParseJsonText(line.substr(start));
     const bool is_event =
         fields.is_object() && fields["time_us"].is_number_integer() &&
         fields.contains("vm") && fields["vm"].is_string() &&
--- a/src/cli/read_commands.cc
+++ b/src/cli/read_commands.cc
@@ -11,6 +11,7 @@
 #include "cli/command_line.h"
 #include "cli/command_type.h"
 #include "cli/fleet_reader.h"
+#include "config/json_text_func.h"
 
 namespace sorrelplank {
 
@@ -167,7 +168,7 @@
     if (result.m_end != FetchOutcome::kAnswered) {
       continue;
     }
-    const json body = json::parse(result.m_response.m_body, nullptr, false);
+    const json body = TryParseJsonText(result.m_response.m_body);
     if (result.m_response.m_status != 200 || !body.is_object()) {
       std::cerr << "sorrelplank explain: " << result.m_response.m_body << "\n";
       return kExitRefused;
--- a/src/config/field_check.cc
+++ b/src/config/field_check.cc
@@ -1,6 +1,7 @@
 /// @file field_check.cc Table-driven checks of JSON.
 
 #include "config/field_check.h"
+#include "config/json_text_func.h"
 
 #include <algorithm>
 #include <charconv>
@@ -171,6 +172,11 @@
 json ParseJson(const std::string& text,
                const std::string& file,
                Faults& faults) {
+  if (IsNestedTooDeeply(text)) {
+    faults.push_back({file, "", "", "is nested too deeply",
+                      "at most " + std::to_string(kMaxJsonDepth) + " levels"});
+    return {};
+  }
   std::vector<std::set<std::string>> open_objects;
   std::vector<std::string> duplicate_keys;
   const auto find_duplicates = [&](int, json::parse_event_t event,
--- a/src/config/head.cc
+++ b/src/config/head.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "config/head_type.h"
+#include "config/json_text_func.h"
 
 namespace sorrelplank {
 
@@ -41,7 +42,7 @@
 }
 
 std::optional<Head> ParseHead(const std::string& text) {
-  const auto record = nlohmann::json::parse(text, nullptr, false);
+  const auto record = TryParseJsonText(text);
   try {
     if (!record.is_object() || record.at("format") != kFormat) {
       return std::nullopt;
--- a/tests/platform_decode_test.cc
+++ b/tests/platform_decode_test.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "config/json_text_func.h"
 #include "platform/decode_func.h"
 #include "platform/store_client.h"
 
@@ -315,5 +316,27 @@
   cr_assert_not(DecodeConfig(config.dump()).m_routes[0].m_idempotent);
 }
 
+// Another writer's entry with a list in a list, and so on: the message of the
+// error recursed once a level, and all VMs crashed at each start.
+Test(PlatformDecode, ServerEntryNestedDeeply_IsRefused) {
+  constexpr size_t kLevels = 400000;
+  const std::string nested =
+      std::string(kLevels, '[') + std::string(kLevels, ']');
+  for (const char* field : {"Service", "Extra"}) {
+    const std::string entry = std::string("{\"") + field + "\":" + nested + "}";
+    cr_expect_throw(DecodeServer("i-1", entry), DecodeError, "%s", field);
+    cr_expect_throw(DecodeMember(entry), DecodeError, "%s", field);
+    cr_expect_throw(DecodeConfig(entry), DecodeError, "%s", field);
+  }
+}
+
+// Brackets in texts are no levels.
+Test(PlatformDecode, BracketsInText_AreAccepted) {
+  const std::string text = "\\\"" + std::string(2 * kMaxJsonDepth, '[');
+  cr_expect_eq(ParseJsonText("[\"" + text + "\"]").size(), 1U);
+  cr_expect_not(IsNestedTooDeeply(std::string(kMaxJsonDepth, '[')));
+  cr_expect(IsNestedTooDeeply(std::string(kMaxJsonDepth + 1, '[')));
+}
+
 }  // namespace
 }  // namespace sorrelplank::platform
