Bound the length of log fields and of decoding errors

What callers saw: nothing directly; operators lost log lines. One entry of another writer with a text of 700 KB, as a server's state, service or as bytes that are no JSON, wrote a line of that length. The buffer of the log (256 KiB) was full until the descriptor had taken it, and all lines until then were dropped.

Error messages quoted texts in full (unknown state, version, the parser's last token), and log fields took any length.

Texts in DescribeJson() are shortened before they are copied.

StoreChangeDecoder ForeignEntryWithLongTexts_LaterLogLinesAreKept failed before: 65,536 bytes (all that the pipe took) logged for an entry, a line dropped, the next server's line missing, in each of three forms.

--- a/src/config/json_text.cc
+++ b/src/config/json_text.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config/json_text_func.h"
+#include "core/shorten_text_func.h"
 
 namespace sorrelplank {
 
@@ -62,10 +63,12 @@
   if (value.is_structured()) {
     return fmt::format("an {} of {}", value.type_name(), value.size());
   }
-  const std::string text =
-      value.dump(-1, ' ', false, json::error_handler_t::replace);
-  return text.size() <= kMaxShownBytes ? text
-                                       : text.substr(0, kMaxShownBytes) + "...";
+  if (value.is_string()) {
+    return '"' +
+           ShortenText(value.get_ref<const std::string&>(), kMaxShownBytes) +
+           '"';
+  }
+  return value.dump();
 }
 
 }  // namespace sorrelplank
--- a/src/proxy/decision_log.cc
+++ b/src/proxy/decision_log.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/shorten_text_func.h"
 #include "serve/clock_func.h"
 
 namespace sorrelplank {
@@ -19,14 +20,17 @@
 /// Holds some seconds of lines under overload; small compared with the memory
 /// of the process.
 constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
+/// Longer texts, which other programs wrote, are shortened.
+constexpr size_t kMaxFieldBytes = 1024;
 
 /// Appends the JSON text of a value.
 struct AppendValue {
   std::string& m_out;
 
   void operator()(const std::string& text) const {
-    m_out += nlohmann::json(text).dump(
-        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    m_out +=
+        nlohmann::json(ShortenText(text, kMaxFieldBytes))
+            .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   }
   void operator()(int64_t number) const {
     fmt::format_to(std::back_inserter(m_out), "{}", number);
--- a/tests/store_change_decoder_test.cc
+++ b/tests/store_change_decoder_test.cc
@@ -4,6 +4,7 @@
 #include "platform/store_change_decoder.h"
 
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <asio.hpp>
@@ -77,6 +78,20 @@
   uint64_t Version() const { return m_proxy->GetSteering().Table()->m_version; }
 };
 
+/// What the decoder has logged.
+std::string ReadLog(DecoderFixture& fixture) {
+  std::string text;
+  char buffer[4096];
+  fixture.m_log->Flush();
+  fcntl(fixture.m_pipe[0], F_SETFL, O_NONBLOCK);
+  ssize_t bytes = read(fixture.m_pipe[0], buffer, sizeof(buffer));
+  while (bytes > 0) {
+    text.append(buffer, static_cast<size_t>(bytes));
+    bytes = read(fixture.m_pipe[0], buffer, sizeof(buffer));
+  }
+  return text;
+}
+
 std::unique_ptr<DecoderFixture> g_fixture;
 
 void SetUp() {
@@ -147,5 +162,24 @@
   cr_assert_not(g_fixture->m_proxy->GetSteering().Picker().IsEvacuated("d1"));
 }
 
+// An entry of another writer with texts of 700 KB: its log line was as long,
+// and the lines after it were dropped.
+Test(StoreChangeDecoder, ForeignEntryWithLongTexts_LaterLogLinesAreKept) {
+  const std::string long_text(700'000, 'x');
+  for (const std::string& text :
+       {R"({"Service":"s","Zone":"d1","Slots":2,"State":")" + long_text + "\"}",
+        R"({"Service":")" + long_text + R"(","Address":"1.2.3.4:80",
+            "Zone":"d1","Version":"v1","Slots":2,"State":"ready",
+            "ColdLeftS":0,"Sequence":1})",
+        '"' + long_text + "\x01\""}) {
+    g_fixture->Put("servers/foreign", text);
+    g_fixture->PutValidServer("i-1");
+    const std::string lines = ReadLog(*g_fixture);
+    cr_expect_eq(g_fixture->m_log->Dropped(), 0);
+    cr_expect(lines.find(R"("server":"i-1")") != std::string::npos,
+              "%zu bytes logged", lines.size());
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank::platform
