Read the store in pages if a watch's response is too large

What callers saw (own test): another writer's values, six of 1 MB in the store's history, kept a VM at its old copy. Its watch was answered with more than the 4 MiB that a VM accepts, it took the store for lost, and asked the same again, until the store dropped that history (20 s on the users' platform). Changes of the configuration and leaving servers were not learned meanwhile. A transaction may hold 32 such values.

Cause: the size of a response to a watch is set by whoever writes, and a response that exceeds the limit counted as none.

Evidence: the log says store_lost with end "unknown", although the store had answered; that end did not tell a silent store from a large response.

Now such a watch leads to a full read, as after a dropped history. Pages are bounded by the store (about 1 MB), so the read makes progress whatever was written. The stand-in ends its pages after 1 MB, too.

StoreWatch ForeignValuesExceedAResponse_LaterChange_IsSeenInTime failed before (not seen within the 4 s for catching up), and passes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -311,6 +311,9 @@
     }
     long sent = 0;  // NOLINT(google-runtime-int)
     curl_easy_getinfo(fetch.m_easy, CURLINFO_REQUEST_SIZE, &sent);
+    if (fetch.m_too_large) {
+      return FetchOutcome::kTooLarge;
+    }
     double connect_seconds = 0;
     curl_easy_getinfo(fetch.m_easy, CURLINFO_CONNECT_TIME, &connect_seconds);
     if (sent == 0) {
--- a/src/net/http_message_type.h
+++ b/src/net/http_message_type.h
@@ -62,7 +62,8 @@
   kSentPartly,     ///< The connection broke while sending.
   kNoAnswer,       ///< Sent, but no response arrived.
   kTruncated,      ///< The response was cut off.
-  kMalformed,      ///< The response is not valid HTTP, or too large.
+  kMalformed,      ///< The response is not valid HTTP.
+  kTooLarge,       ///< The response exceeds HttpFetch::m_max_response_bytes.
   kTimedOut,       ///< Timed out after bytes were sent.
 };
 
--- a/src/serve/classify_attempt.cc
+++ b/src/serve/classify_attempt.cc
@@ -33,6 +33,7 @@
     case FetchOutcome::kTruncated:
       return AttemptOutcome::kAnswerTruncated;
     case FetchOutcome::kMalformed:
+    case FetchOutcome::kTooLarge:
       return AttemptOutcome::kAnswerMalformed;
     case FetchOutcome::kTimedOut:
       return AttemptOutcome::kDeadlineAfterSend;
--- a/standin/store_standin.cc
+++ b/standin/store_standin.cc
@@ -15,6 +15,8 @@
 namespace base64 = restinio::utils::base64;
 
 constexpr size_t kPageItems = 50;
+/// A page ends before the item with which its values would exceed this.
+constexpr size_t kPageBytes = 1'000'000;
 constexpr size_t kMaxHistoryItems = 10000;
 constexpr auto kTimerInterval = std::chrono::milliseconds(50);
 /// Interval between copies that the store can be restored from, and how long
@@ -124,11 +126,13 @@
   const std::string after = QueryText(request, "after");
   json items = json::array();
   bool has_more = false;
+  size_t bytes = 0;
   for (const auto& [key, item] : m_items) {
     if (!key.starts_with(prefix) || key <= after) {
       continue;
     }
-    if (items.size() == kPageItems) {
+    bytes += item.m_value.size();
+    if (items.size() == kPageItems || (!items.empty() && bytes > kPageBytes)) {
       has_more = true;
       break;
     }
--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -155,6 +155,26 @@
   g_fixture->RunUntil([] { return g_fixture->Sees("op/config", "new"); });
 }
 
+// Another writer's values together exceed the largest response to a watch. The
+// VM asked for them again and again, and learned of no later change.
+Test(StoreWatch, ForeignValuesExceedAResponse_LaterChange_IsSeenInTime) {
+  constexpr auto kCatchUpTime = seconds(4);
+  g_fixture->Put("op/config", "old");
+  g_fixture->m_watch->Start();
+  g_fixture->RunUntil([] { return g_fixture->Sees("op/config", "old"); });
+  for (int number = 0; number < 6; ++number) {
+    g_fixture->m_store.PutText("servers/foreign-" + std::to_string(number),
+                               std::string(1'000'000, 'x'));
+  }
+  g_fixture->m_store.PutText("op/config", "new");
+  bool is_over = false;
+  asio::steady_timer timer(g_fixture->m_io, kCatchUpTime);
+  timer.async_wait([&](std::error_code) { is_over = true; });
+  g_fixture->RunUntil(
+      [&] { return is_over || g_fixture->Sees("op/config", "new"); });
+  cr_assert(g_fixture->Sees("op/config", "new"));
+}
+
 // The store does not respond for a second, or refuses every call. Known values
 // are kept, and later changes are seen.
 Test(StoreWatch, Outage_SilentOrRefusing_ContinuesAfterwards) {
