Keep little of large values that another writer put into the store

What callers saw: with enough of them, all VMs would be ended for their memory, again at each start.

Ruled out: fragmentation after refused entries alone (the values are held by StoreMirror, also those of keys that no decoder reads).

Entries of servers and VMs have some hundred bytes.

--- a/tests/store_watch_test.cc
+++ b/tests/store_watch_test.cc
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "net/http_client.h"
+#include "platform/decode_func.h"
 #include "platform/feed_client.h"
 #include "platform/registration.h"
 #include "platform/store_client.h"
@@ -175,6 +176,33 @@
   cr_assert(g_fixture->Sees("op/config", "new"));
 }
 
+// Another writer's large values were kept by every VM, and took it over its
+// memory. The configuration may be large.
+Test(StoreWatch, ForeignValuesAreLarge_AllKeys_LittleOfThemIsKept) {
+  const std::string config(900'000, 'c');
+  g_fixture->m_store.PutText("op/config", config);
+  for (int number = 0; number < 20; ++number) {
+    for (const char* prefix : {"servers/f-", "fleet/f-", "other/f-"}) {
+      g_fixture->m_store.PutText(prefix + std::to_string(number),
+                                 std::string(700'000, 'x'));
+    }
+  }
+  g_fixture->m_watch->Start();
+  g_fixture->RunUntil([] { return g_fixture->m_seen.size() == 61; });
+  g_fixture->m_store.PutText("servers/f-0", std::string(700'001, 'y'));
+  g_fixture->RunUntil(
+      [] { return g_fixture->m_seen["servers/f-0"].front() == 'y'; });
+  size_t bytes = 0;
+  for (const auto& [key, value] : g_fixture->m_seen) {
+    bytes += value.size();
+  }
+  cr_expect_leq(bytes, config.size() + 60 * (kMaxEntryBytes + 1), "%zu bytes",
+                bytes);
+  cr_expect(g_fixture->Sees("op/config", config));
+  cr_expect_throw(DecodeServer("f-0", g_fixture->m_seen["servers/f-0"]),
+                  DecodeError);
+}
+
 // The store does not respond for a second, or refuses every call. Known values
 // are kept, and later changes are seen.
 Test(StoreWatch, Outage_SilentOrRefusing_ContinuesAfterwards) {
