End an attempt whose server never stops sending what is no response

Cause: a response that does not belong to the request is dropped, and the next one awaited. Nothing counted them or their bytes, so that the attempt read as fast as the server sent until its time was over. The body of the expected response was bounded, and heads and trailers by the parser.

Evidence: own test with eleven kinds of bytes without end. Before, two of them never ended (interim responses; responses to another request), the others ended as "response too large" or as no valid HTTP.

Now an attempt ends as "oversized" after more than 16 responses that are not its own, after twice its largest body and 128 KiB, whatever the bytes are, or with a head that is too large. For steering that is a lost answer: the request may have run, the server is left as one that fails otherwise, retries are charged. The name stands in the log line of the attempt and in the counter of attempts; the line also says which bound.

EndlessServer BytesWithoutEnd_EachKind_AttemptEnds failed before.

--- a/src/proxy/peer_fields.cc
+++ b/src/proxy/peer_fields.cc
@@ -61,6 +61,7 @@
     case ReplyEnd::kNotSent:
       return {.m_end = PeerEnd::kNotSent};
     case ReplyEnd::kLost:
+    case ReplyEnd::kOversized:
       return {.m_end = PeerEnd::kLost};
     case ReplyEnd::kComplete:
       break;
--- a/src/proxy/reply_classifier.cc
+++ b/src/proxy/reply_classifier.cc
@@ -50,6 +50,7 @@
       report.m_end = AttemptEnd::kNotSent;
       return report;
     case ReplyEnd::kLost:
+    case ReplyEnd::kOversized:
       report.m_end = AttemptEnd::kLost;
       return report;
     case ReplyEnd::kComplete:
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -369,14 +369,17 @@
                                AttemptId attempt,
                                ServerReply reply) {
   const AttemptReport report = ClassifyReply(reply, m_names);
-  m_metrics.CountAttempt(AttemptEndName(report.m_end), report.m_latency);
+  const char* const own_name = ReplyEndName(reply.m_end);
+  const char* const end =
+      own_name != nullptr ? own_name : AttemptEndName(report.m_end);
+  m_metrics.CountAttempt(end, report.m_latency);
   const auto it = m_open_requests.find(request);
   if (it == m_open_requests.end()) {
     return;
   }
   m_log.Write("send_ended", {{"request", it->second.m_id},
                              {"attempt", static_cast<int64_t>(attempt.Get())},
-                             {"end", AttemptEndName(report.m_end)},
+                             {"end", end},
                              {"status", int64_t{reply.m_response.m_status}},
                              {"problem", reply.m_problem},
                              {"latency_ms", LogMs(report.m_latency)},
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -24,6 +24,12 @@
 constexpr double kKeepAliveUseFraction = 0.8;
 /// Used if the server announces no keep-alive time.
 constexpr Duration kDefaultKeepAlive = seconds(3);
+/// Interim and late responses that may come before the expected one.
+constexpr size_t kMaxOtherResponses = 16;
+/// All bytes received for a request, as a multiple of the largest body, and
+/// besides: chunk sizes, heads, and late responses.
+constexpr size_t kReceivedBytesFactor = 2;
+constexpr size_t kReceivedHeadBytes = size_t{128} * 1024;
 
 }  // namespace
 
@@ -49,6 +55,8 @@
   m_written = 0;
   m_is_message_complete = false;
   m_is_too_large = false;
+  m_received_bytes = 0;
+  m_other_responses = 0;
   m_started = SteadyNow();
   ++m_send_count;
   if (m_is_open) {
@@ -132,6 +140,12 @@
     m_on_idle_end(this);
     return;
   }
+  m_received_bytes += bytes;
+  if (m_received_bytes > kReceivedBytesFactor * m_request.m_max_response_bytes +
+                             kReceivedHeadBytes) {
+    Finish(ReplyEnd::kOversized, "more bytes than any response needs");
+    return;
+  }
   static const http_parser_settings parser_settings = [] {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
@@ -158,10 +172,17 @@
       }
       continue;
     }
-    if (HTTP_PARSER_ERRNO(&m_parser) != HPE_OK) {
-      Finish(ReplyEnd::kLost, m_is_too_large ? "response too large"
-                                             : "response is not valid HTTP");
-      return;
+    switch (HTTP_PARSER_ERRNO(&m_parser)) {
+      case HPE_OK:
+        break;
+      case HPE_HEADER_OVERFLOW:
+        Finish(ReplyEnd::kOversized, "head too large");
+        return;
+      default:
+        Finish(m_is_too_large ? ReplyEnd::kOversized : ReplyEnd::kLost,
+               m_is_too_large ? "response too large"
+                              : "response is not valid HTTP");
+        return;
     }
   }
   if (!m_is_closed) {
@@ -218,6 +239,9 @@
     // one may still follow. After a late response the connection is not reused.
     m_must_close |= m_parser.status_code / 100 != 1;
     ResetResponse();
+    if (++m_other_responses > kMaxOtherResponses) {
+      Finish(ReplyEnd::kOversized, "too many responses to other requests");
+    }
     return;
   }
   m_response.m_status = m_parser.status_code;
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -103,6 +103,10 @@
   bool m_is_closed = false;
   bool m_is_message_complete = false;
   bool m_is_too_large = false;
+  /// Since the request was handed to the connection: all bytes received, and
+  /// the complete responses that do not belong to it.
+  size_t m_received_bytes = 0;
+  size_t m_other_responses = 0;
   uint64_t m_send_count = 0;
   TimePoint m_usable_until{};
   TimePoint m_idle_since{};
--- a/src/proxy/server_reply_type.h
+++ b/src/proxy/server_reply_type.h
@@ -14,11 +14,17 @@
 
 /// How a send ended.
 enum class ReplyEnd : uint8_t {
-  kComplete,  ///< A complete response that carries the request id.
-  kNotSent,   ///< No byte was sent.
-  kLost,      ///< Some bytes were sent, but no complete response was received.
+  kComplete,   ///< A complete response that carries the request id.
+  kNotSent,    ///< No byte was sent.
+  kLost,       ///< Some bytes were sent, but no complete response was received.
+  kOversized,  ///< As kLost; the server sent more than a response may need.
 };
 
+/// Name in logs and metrics of an end that has one of its own, else nullptr.
+inline const char* ReplyEndName(ReplyEnd end) {
+  return end == ReplyEnd::kOversized ? "oversized" : nullptr;
+}
+
 /// Outcome of a send, with the response if there is one.
 struct ServerReply {
   ReplyEnd m_end = ReplyEnd::kLost;
