Bound the memory of responses that are still arriving

Cause: each attempt may take 16 MiB, and the sum over attempts had no bound. BodyBudget counts responses, but refuses nothing for them, as a server has done the work. That holds for complete ones; an incomplete one is no work yet.

Evidence: own test with 32 attempts at such a server on a VM of 160 MB: 533 MB held at the peak, the budget's bound is 54 MB.

Now incomplete responses together may take half of the budget's bound. Beyond it the attempt with the largest one ends as "oversized": a server that never stops becomes that one. Responses up to 64 KiB are never ended so, and without memory in the settings nothing is bounded, as before. A part of a response is dropped when its attempt ends; it was kept until the request's end.

Hedges and answers of other VMs come by the same pool and count.

EndlessServer BodiesWithoutEnd_ManyAttempts_HeldBytesStayUnderTheBound failed with the bound switched off (532,809,728 of 54,400,000 bytes); now all attempts end, and nothing stays counted.

--- a/src/proxy/body_budget.cc
+++ b/src/proxy/body_budget.cc
@@ -25,6 +25,8 @@
 /// Fraction of the bound that only small requests can use. On a VM of 160 MB it
 /// holds over a thousand of them, which exceeds what such a VM has open.
 constexpr double kSmallReserveFraction = 0.125;
+/// Fraction of the bound that responses can use before they are complete.
+constexpr double kArrivingFraction = 0.5;
 /// Charged for each open request besides head and body: the parsed fields, and
 /// the records that the proxy and steering keep. Without it, requests without a
 /// body would always fit.
@@ -74,6 +76,10 @@
       (static_cast<double>(body_bytes) - m_response_bytes) * kResponseWeight;
 }
 
+size_t BodyBudget::ArrivingBound() const {
+  return static_cast<size_t>(static_cast<double>(m_bound) * kArrivingFraction);
+}
+
 Duration BodyBudget::RetryAfter(uint64_t seed) {
   const auto spread = static_cast<uint64_t>(
       (kMaxRetryAfter - kMinRetryAfter + Duration(1)).count());
--- a/src/proxy/body_budget.h
+++ b/src/proxy/body_budget.h
@@ -49,6 +49,8 @@
   size_t Held() const { return *m_held; }
   /// Zero if there is no bound.
   size_t Bound() const { return m_bound; }
+  /// Bytes of all responses that are not complete; zero if there is no bound.
+  size_t ArrivingBound() const;
 
  private:
   /// Bytes that may be held once a request with this body has been accepted.
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -73,7 +73,7 @@
     : m_names(std::move(names)),
       m_log(log),
       m_metrics(metrics),
-      m_pool(io),
+      m_pool(io, m_bodies),
       m_steering(settings,
                  [this](const SteerAction& action) { Dispatch(action); }) {}
 
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -185,6 +185,9 @@
         return;
     }
   }
+  if (!m_is_closed && m_is_busy && m_request.m_on_body) {
+    m_request.m_on_body(m_response.m_body.size());
+  }
   if (!m_is_closed) {
     Read();
   }
@@ -276,6 +279,10 @@
   reply.m_end = end;
   reply.m_problem = problem;
   reply.m_latency = SteadyNow() - m_started;
+  if (end != ReplyEnd::kComplete) {
+    // A part of a response is of no use, and can be large.
+    ResetResponse();
+  }
   reply.m_response = std::move(m_response);
   reply.m_held = std::move(m_request.m_held);
   reply.m_is_reused_connection = m_send_count > 1;
@@ -290,6 +297,10 @@
   }
 }
 
+void ServerConnection::EndOversized(const char* problem) {
+  Finish(ReplyEnd::kOversized, problem);
+}
+
 void ServerConnection::Close() {
   m_is_closed = true;
   m_is_open = false;
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -29,6 +29,9 @@
   size_t m_max_response_bytes = 0;
   /// Grows with the response's body.
   BodyReservation m_held;
+  /// Called with the size of the response's body so far, after each read that
+  /// does not complete the response. May end the request.
+  std::function<void(size_t bytes)> m_on_body;
 };
 
 /// HTTP/1.1 client connection over Asio, one request at a time.
@@ -50,6 +53,9 @@
   /// Send.
   void Send(ServerRequest send, Duration connect_timeout, ReplyHandler handler);
 
+  /// Ends the request as oversized; the problem is a string literal.
+  void EndOversized(const char* problem);
+
   /// Closes the connection; the handler is not called any more.
   void Close();
 
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -6,6 +6,7 @@
 #include <asio.hpp>
 #include <utility>
 
+#include "proxy/body_budget.h"
 #include "proxy/server_connection.h"
 #include "proxy/server_probe.h"
 #include "serve/clock_func.h"
@@ -24,7 +25,8 @@
 
 }  // namespace
 
-ServerPool::ServerPool(asio::io_context& io) : m_io(io) {}
+ServerPool::ServerPool(asio::io_context& io, const BodyBudget& bodies)
+    : m_io(io), m_bodies(bodies) {}
 
 ServerPool::~ServerPool() {
   for (auto& [attempt, active] : m_active_sends) {
@@ -51,6 +53,9 @@
           OnIdleConnectionEnded(instance, ended);
         });
   }
+  send.m_on_body = [this, attempt](size_t bytes) {
+    OnBodyReceived(attempt, bytes);
+  };
   m_active_sends[attempt] = {connection, target.m_instance, target.m_max_idle};
   connection->Send(
       std::move(send), kConnectTimeout,
@@ -58,6 +63,7 @@
         const auto it = m_active_sends.find(attempt);
         const ActiveSend active = std::move(it->second);
         m_active_sends.erase(it);
+        m_arriving.Remove(attempt);
         auto& idle = m_idle[active.m_instance];
         if (active.m_connection->IsReusable() &&
             idle.size() < active.m_max_idle) {
@@ -76,6 +82,18 @@
   }
   it->second.m_connection->Close();
   m_active_sends.erase(it);
+  m_arriving.Remove(attempt);
+}
+
+void ServerPool::OnBodyReceived(AttemptId attempt, size_t bytes) {
+  const auto largest =
+      m_arriving.Update(attempt, bytes, m_bodies.ArrivingBound());
+  if (!largest) {
+    return;
+  }
+  // The handler of the ended send removes it from the map.
+  const ConnectionPtr connection = m_active_sends.at(*largest).m_connection;
+  connection->EndOversized("no memory left for the response");
 }
 
 ServerPool::ConnectionPtr ServerPool::TakeIdle(const std::string& instance,
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -15,6 +15,7 @@
 #include "core/ids_type.h"
 #include "core/time_type.h"
 #include "core/vm_record_type.h"
+#include "proxy/arriving_responses.h"
 #include "proxy/server_reply_type.h"
 #include "steer/crash_record_type.h"
 
@@ -24,6 +25,7 @@
 
 namespace sorrelplank {
 
+class BodyBudget;
 class ServerConnection;
 struct ServerRequest;
 
@@ -40,7 +42,8 @@
 /// may be reassigned to another server, an open connection cannot.
 class ServerPool {
  public:
-  explicit ServerPool(asio::io_context& io);
+  /// The budget must outlive the pool.
+  ServerPool(asio::io_context& io, const BodyBudget& bodies);
   ~ServerPool();
 
   /// Sends on a suitable idle connection, otherwise on a new one.
@@ -77,11 +80,15 @@
     size_t m_max_idle = 0;
   };
 
+  /// Ends an attempt if the incomplete responses need too much memory.
+  void OnBodyReceived(AttemptId attempt, size_t bytes);
   ConnectionPtr TakeIdle(const std::string& instance, bool is_idempotent);
   void OnIdleConnectionEnded(const std::string& instance,
                              const ServerConnection* connection);
 
   asio::io_context& m_io;
+  const BodyBudget& m_bodies;
+  ArrivingResponses m_arriving;
   std::map<std::string, std::vector<ConnectionPtr>> m_idle;
   std::unordered_map<AttemptId, ActiveSend> m_active_sends;
   uint64_t m_connections_opened = 0;
--- a/tests/endless_server_test.cc
+++ b/tests/endless_server_test.cc
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <asio.hpp>
 #include <memory>
 #include <optional>
@@ -11,7 +12,10 @@
 #include <utility>
 #include <vector>
 
+#include "proxy/arriving_responses.h"
+#include "proxy/body_budget.h"
 #include "proxy/server_connection.h"
+#include "proxy/server_pool.h"
 #include "proxy/server_reply_type.h"
 #include "serve/clock_func.h"
 
@@ -108,5 +112,60 @@
   }
 }
 
+// Several servers send bodies without end, to more attempts than the VM has
+// memory for: the VM was ended for its memory.
+Test(EndlessServer, BodiesWithoutEnd_ManyAttempts_HeldBytesStayUnderTheBound) {
+  constexpr size_t kAttempts = 32;
+  BodyBudget budget;
+  budget.SetMemory(160'000'000);
+  ServerPool pool(g_fixture->m_io, budget);
+  const EndlessBytes body{"", "HTTP/1.1 200 OK\r\nid: 1\r\nstamp: s\r\n\r\n",
+                          "abcdefgh"};
+  EndlessServer server(g_fixture->m_io, body);
+  size_t ended = 0;
+  for (size_t attempt = 1; attempt <= kAttempts; ++attempt) {
+    ServerRequest send;
+    send.m_bytes = "GET / HTTP/1.1\r\nid: 1\r\n\r\n";
+    send.m_request_id = "1";
+    send.m_request_id_name = "id";
+    send.m_max_response_bytes = 16U << 20U;
+    send.m_held = budget.ForResponse();
+    pool.Send(AttemptId(attempt),
+              {.m_instance = "i-1", .m_address = server.Address()},
+              std::move(send), [&ended](const ServerReply& reply) {
+                cr_expect_eq(reply.m_end, ReplyEnd::kOversized);
+                cr_expect_eq(reply.m_response.m_body.size(), 0);
+                ++ended;
+              });
+  }
+  size_t peak = 0;
+  const TimePoint by = SteadyNow() + kEndTime;
+  while (ended < kAttempts && SteadyNow() < by) {
+    g_fixture->m_io.run_one_for(milliseconds(10));
+    peak = std::max(peak, budget.Held());
+  }
+  cr_expect_eq(ended, kAttempts);
+  cr_expect_leq(peak, budget.Bound(), "%zu of %zu bytes", peak, budget.Bound());
+  cr_expect_eq(budget.Held(), 0);
+}
+
+// The largest response gives way, a small one never.
+Test(ArrivingResponses, BoundExceeded_Responses_LargestIsNamed) {
+  constexpr size_t kBound = 1'000'000;
+  ArrivingResponses arriving;
+  cr_expect_not(arriving.Update(AttemptId(1), 600'000, kBound));
+  cr_expect_not(arriving.Update(AttemptId(2), 300'000, kBound));
+  cr_expect_eq(arriving.Update(AttemptId(3), 200'000, kBound), AttemptId(1));
+  arriving.Remove(AttemptId(1));
+  cr_expect_eq(arriving.Bytes(), 500'000);
+  cr_expect_not(arriving.Update(AttemptId(3), 700'000, kBound));
+  cr_expect_not(arriving.Update(AttemptId(3), 2'000'000, 0));
+  arriving.Remove(AttemptId(3));
+  arriving.Remove(AttemptId(2));
+  for (uint64_t attempt = 1; attempt <= 100; ++attempt) {
+    cr_expect_not(arriving.Update(AttemptId(attempt), 50'000, kBound));
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank
