Read less from a server that sent an oversized response

What callers saw: nothing more in answers; VMs paid again and again.

Cause: the limit of an attempt did not follow what is known of its server, and the bound counted a body's bytes, not its buffer, which grows to twice that.

Evidence: in a VM's log 13 attempts ended within 0.2 s of the first, then three or four each 4 s, when the server's ejection ended, each at 16 MiB or at the bound.

Now a server whose last response was oversized is read up to twice the largest complete response that the VM has seen, at least 1 MiB, until it answers completely or its entry goes. That ends the attempts beside the first as well. Servers that never were over a bound keep 16 MiB, so large downloads go on. Buffers grow by a quarter and are counted as they are; incomplete responses may take 0.4 of the budget's bound, which holds one of 16 MiB on a VM of 160 MB.

EndlessServer OneAttemptWasOversized_LaterAttempts_EndSooner failed with the memory of it switched off (16,772,096 bytes read at the second attempt).

--- a/src/proxy/body_budget.cc
+++ b/src/proxy/body_budget.cc
@@ -26,7 +26,7 @@
 /// holds over a thousand of them, which exceeds what such a VM has open.
 constexpr double kSmallReserveFraction = 0.125;
 /// Fraction of the bound that responses can use before they are complete.
-constexpr double kArrivingFraction = 0.5;
+constexpr double kArrivingFraction = 0.4;
 /// Charged for each open request besides head and body: the parsed fields, and
 /// the records that the proxy and steering keep. Without it, requests without a
 /// body would always fit.
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -30,6 +30,8 @@
 /// besides: chunk sizes, heads, and late responses.
 constexpr size_t kReceivedBytesFactor = 2;
 constexpr size_t kReceivedHeadBytes = size_t{128} * 1024;
+/// The buffer of a body grows by one part in this many.
+constexpr size_t kBodyGrowthDivisor = 4;
 
 }  // namespace
 
@@ -186,7 +188,7 @@
     }
   }
   if (!m_is_closed && m_is_busy && m_request.m_on_body) {
-    m_request.m_on_body(m_response.m_body.size());
+    m_request.m_on_body(m_response.m_body.capacity());
   }
   if (!m_is_closed) {
     Read();
@@ -347,6 +349,10 @@
     self->m_is_too_large = true;
     return 1;
   }
+  if (body.capacity() - body.size() < length) {
+    // Growing by half or more would hold much memory that is not used.
+    body.reserve(body.size() + length + body.size() / kBodyGrowthDivisor);
+  }
   body.append(at, length);
   self->m_request.m_held.Grow(length);
   return 0;
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -29,7 +29,7 @@
   size_t m_max_response_bytes = 0;
   /// Grows with the response's body.
   BodyReservation m_held;
-  /// Called with the size of the response's body so far, after each read that
+  /// Called with the memory of the response's body so far, after each read that
   /// does not complete the response. May end the request.
   std::function<void(size_t bytes)> m_on_body;
 };
--- a/src/proxy/server_pool.cc
+++ b/src/proxy/server_pool.cc
@@ -22,6 +22,11 @@
 /// then reset, and it is unknown whether it ran. Non-idempotent requests
 /// therefore only use connections that were in use just before.
 constexpr Duration kMaxIdleForNonIdempotent = milliseconds(1000);
+/// A server that sent an oversized response is tried again with a lower limit:
+/// this multiple of the largest complete response of any server, and at least
+/// so many bytes.
+constexpr size_t kResponseLimitFactor = 2;
+constexpr size_t kMinResponseLimitBytes = 1U << 20U;
 
 }  // namespace
 
@@ -53,6 +58,8 @@
           OnIdleConnectionEnded(instance, ended);
         });
   }
+  send.m_max_response_bytes =
+      MaxResponseBytes(target.m_instance, send.m_max_response_bytes);
   send.m_on_body = [this, attempt](size_t bytes) {
     OnBodyReceived(attempt, bytes);
   };
@@ -64,6 +71,7 @@
         const ActiveSend active = std::move(it->second);
         m_active_sends.erase(it);
         m_arriving.Remove(attempt);
+        NoteReply(active.m_instance, reply);
         auto& idle = m_idle[active.m_instance];
         if (active.m_connection->IsReusable() &&
             idle.size() < active.m_max_idle) {
@@ -85,7 +93,35 @@
   m_arriving.Remove(attempt);
 }
 
+size_t ServerPool::MaxResponseBytes(const std::string& instance,
+                                    size_t usual) const {
+  if (!m_oversized.contains(instance)) {
+    return usual;
+  }
+  return std::min(usual,
+                  std::max(kMinResponseLimitBytes,
+                           kResponseLimitFactor * m_largest_response_bytes));
+}
+
+void ServerPool::NoteReply(const std::string& instance,
+                           const ServerReply& reply) {
+  if (reply.m_end == ReplyEnd::kOversized) {
+    m_oversized.insert(instance);
+  } else if (reply.m_end == ReplyEnd::kComplete) {
+    m_oversized.erase(instance);
+    m_largest_response_bytes =
+        std::max(m_largest_response_bytes, reply.m_response.m_body.size());
+  }
+}
+
 void ServerPool::OnBodyReceived(AttemptId attempt, size_t bytes) {
+  const ActiveSend& active = m_active_sends.at(attempt);
+  if (m_oversized.contains(active.m_instance) &&
+      bytes > MaxResponseBytes(active.m_instance, SIZE_MAX)) {
+    const ConnectionPtr connection = active.m_connection;
+    connection->EndOversized("response too large");
+    return;
+  }
   const auto largest =
       m_arriving.Update(attempt, bytes, m_bodies.ArrivingBound());
   if (!largest) {
@@ -158,6 +194,7 @@
 }
 
 void ServerPool::CloseIdle(const std::string& instance) {
+  m_oversized.erase(instance);
   const auto it = m_idle.find(instance);
   if (it == m_idle.end()) {
     return;
--- a/src/proxy/server_pool.h
+++ b/src/proxy/server_pool.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -80,6 +81,9 @@
     size_t m_max_idle = 0;
   };
 
+  /// The largest response body that is accepted from the instance.
+  size_t MaxResponseBytes(const std::string& instance, size_t usual) const;
+  void NoteReply(const std::string& instance, const ServerReply& reply);
   /// Ends an attempt if the incomplete responses need too much memory.
   void OnBodyReceived(AttemptId attempt, size_t bytes);
   ConnectionPtr TakeIdle(const std::string& instance, bool is_idempotent);
@@ -89,6 +93,10 @@
   asio::io_context& m_io;
   const BodyBudget& m_bodies;
   ArrivingResponses m_arriving;
+  /// Instances whose last response was oversized.
+  std::set<std::string> m_oversized;
+  /// The largest complete response body so far.
+  size_t m_largest_response_bytes = 0;
   std::map<std::string, std::vector<ConnectionPtr>> m_idle;
   std::unordered_map<AttemptId, ActiveSend> m_active_sends;
   uint64_t m_connections_opened = 0;
--- a/tests/endless_server_test.cc
+++ b/tests/endless_server_test.cc
@@ -149,6 +149,38 @@
   cr_expect_eq(budget.Held(), 0);
 }
 
+// After one attempt at such a server, the others read as much again each, and
+// so did every later one.
+Test(EndlessServer, OneAttemptWasOversized_LaterAttempts_EndSooner) {
+  BodyBudget budget;
+  ServerPool pool(g_fixture->m_io, budget);
+  EndlessServer server(
+      g_fixture->m_io,
+      {"", "HTTP/1.1 200 OK\r\nid: 1\r\nstamp: s\r\n\r\n", "abcdefgh"});
+  size_t peak = 0;
+  for (uint64_t attempt = 1; attempt <= 2; ++attempt) {
+    bool has_ended = false;
+    ServerRequest send;
+    send.m_bytes = "GET / HTTP/1.1\r\nid: 1\r\n\r\n";
+    send.m_request_id = "1";
+    send.m_request_id_name = "id";
+    send.m_max_response_bytes = 16U << 20U;
+    send.m_held = budget.ForResponse();
+    pool.Send(AttemptId(attempt),
+              {.m_instance = "i-1", .m_address = server.Address()},
+              std::move(send),
+              [&has_ended](const ServerReply&) { has_ended = true; });
+    const TimePoint by = SteadyNow() + kEndTime;
+    peak = 0;
+    while (!has_ended && SteadyNow() < by) {
+      g_fixture->m_io.run_one_for(milliseconds(10));
+      peak = std::max(peak, budget.Held());
+    }
+    cr_expect(has_ended);
+  }
+  cr_expect_leq(peak, 2U << 20U, "%zu bytes", peak);
+}
+
 // The largest response gives way, a small one never.
 Test(ArrivingResponses, BoundExceeded_Responses_LargestIsNamed) {
   constexpr size_t kBound = 1'000'000;
