Bound the fields of responses that libcurl reads

A peer or a store that sends trailers without end took 166 MB of a VM in the 0.8 s that a call to the store may take; a VM may have 160 MB.

Cause: every field of a response, of its head and behind its body, is kept. libcurl bounds a head (fields of 3.4 MB as they are kept), and not trailers.

Evidence: the test over eleven kinds of bytes without end. Before: trailers 166,249,605 bytes of fields, fields of a head 3,379,068, all others under 300 bytes; each call ended by its time limit, libcurl's bound or the body's.

Now a fetch ends as too large with more than 32 KiB of fields in all. What the store and other VMs send has some hundred bytes.

EndlessServer BytesWithoutEnd_FetchOfAVm_EndsWithLittleMemory failed before.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -13,6 +13,10 @@
 
 namespace {
 
+/// All fields of a response, and those that follow its body. Heads of the store
+/// and of other VMs have some hundred bytes.
+constexpr size_t kMaxHeadBytes = size_t{32} * 1024;
+
 /// Global initialisation of libcurl, done once per process.
 struct CurlGlobal {
   CurlGlobal() { curl_global_init(CURL_GLOBAL_DEFAULT); }
@@ -84,6 +88,7 @@
     CURL* m_easy = nullptr;
     curl_slist* m_header_list = nullptr;
     HttpResponse m_response;
+    size_t m_head_bytes = 0;
     bool m_too_large = false;
   };
 
@@ -167,6 +172,11 @@
 
   static size_t OnHeader(char* data, size_t size, size_t count, void* user) {
     auto* fetch = static_cast<Fetch*>(user);
+    fetch->m_head_bytes += size * count;
+    if (fetch->m_head_bytes > kMaxHeadBytes) {
+      fetch->m_too_large = true;
+      return 0;
+    }
     const std::string line(data, size * count);
     const size_t colon = line.find(':');
     if (colon != std::string::npos) {
--- a/src/net/http_message_type.h
+++ b/src/net/http_message_type.h
@@ -63,7 +63,7 @@
   kNoAnswer,       ///< Sent, but no response arrived.
   kTruncated,      ///< The response was cut off.
   kMalformed,      ///< The response is not valid HTTP.
-  kTooLarge,       ///< The response exceeds HttpFetch::m_max_response_bytes.
+  kTooLarge,       ///< The response's head or body exceeds its limit.
   kTimedOut,       ///< Timed out after bytes were sent.
 };
 
--- a/tests/endless_server_test.cc
+++ b/tests/endless_server_test.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "net/http_client.h"
 #include "proxy/arriving_responses.h"
 #include "proxy/body_budget.h"
 #include "proxy/server_connection.h"
@@ -181,6 +182,32 @@
   cr_expect_leq(peak, 2U << 20U, "%zu bytes", peak);
 }
 
+// The store, relays and operators' commands are read by another client.
+Test(EndlessServer, BytesWithoutEnd_FetchOfAVm_EndsWithLittleMemory) {
+  for (const EndlessBytes& bytes : kEndless) {
+    EndlessServer server(g_fixture->m_io, bytes);
+    HttpClient client(g_fixture->m_io);
+    HttpFetch fetch;
+    fetch.m_url =
+        "http://127.0.0.1:" + std::to_string(server.Address().m_port) + "/";
+    fetch.m_timeout = milliseconds(800);
+    std::optional<HttpResult> result;
+    client.Start(std::move(fetch),
+                 [&result](HttpResult end) { result = std::move(end); });
+    const TimePoint by = SteadyNow() + kEndTime;
+    while (!result && SteadyNow() < by) {
+      g_fixture->m_io.run_one_for(milliseconds(10));
+    }
+    cr_assert(result.has_value(), "%s", bytes.m_what);
+    size_t head_bytes = 0;
+    for (const auto& [name, value] : result->m_response.m_headers) {
+      head_bytes += name.size() + value.size() + sizeof(name) + sizeof(value);
+    }
+    cr_expect_leq(head_bytes, 1U << 20U, "%s: %zu bytes of fields",
+                  bytes.m_what, head_bytes);
+  }
+}
+
 // The largest response gives way, a small one never.
 Test(ArrivingResponses, BoundExceeded_Responses_LargestIsNamed) {
   constexpr size_t kBound = 1'000'000;
