Soak: servers that never stop sending, and the memory of VMs

A kind of fault "endless_server" replaces a server's responses by bytes without end for some seconds: a body, interim responses, responses to other requests, chunks, fields, or no HTTP. VMs of the soak have 160 MB in their settings, and a run breaks if one had half of that in memory at its end.

--- a/soak/edge_child.cc
+++ b/soak/edge_child.cc
@@ -9,7 +9,9 @@
 #include <cerrno>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
+#include <string>
 #include <utility>
 
 namespace sorrelplank::soak {
@@ -83,6 +85,18 @@
   }
 }
 
+size_t EdgeChild::PeakMemoryBytes() const {
+  std::ifstream in("/proc/" + std::to_string(m_pid) + "/status");
+  const std::string name = "VmHWM:";
+  std::string line;
+  while (std::getline(in, line)) {
+    if (line.starts_with(name)) {
+      return std::stoul(line.substr(name.size())) * 1024;
+    }
+  }
+  return 0;
+}
+
 ChildExit EdgeChild::Poll() {
   ChildExit result;
   int status = 0;
--- a/soak/edge_child.h
+++ b/soak/edge_child.h
@@ -35,6 +35,9 @@
   void Signal(int signal) const;
   /// Reports whether the process has ended since the last call; does not wait.
   ChildExit Poll();
+
+  /// The most memory that the process has had; zero if it does not run.
+  size_t PeakMemoryBytes() const;
   bool IsRunning() const { return m_pid > 0; }
   /// Not positive unless the process runs.
   pid_t Pid() const { return m_pid; }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -30,6 +30,7 @@
   kRefuse,         ///< New connections are reset at once.
   kDropResponses,  ///< Data from the target is dropped.
   kDropAll,        ///< Data of both directions is dropped.
+  kSendEndlessly,  ///< Responses are replaced by bytes without end.
 };
 
 /// Forwards bytes between its clients and one target.
@@ -42,6 +43,9 @@
   FaultProxy& operator=(const FaultProxy&) = delete;
 
   void SetFault(LinkFault fault) { m_fault = fault; }
+  /// What kSendEndlessly sends, over and over; if empty, the response with a
+  /// body that does not end.
+  void SetEndlessUnit(std::string unit) { m_endless_unit = std::move(unit); }
   /// Delays each chunk of data by this time.
   void SetDelay(Duration delay) { m_delay = delay; }
   /// Closes the listener: new connections are refused, as without a server
@@ -82,6 +86,7 @@
   std::set<std::shared_ptr<ProxyLink>> m_links;
   LinkFault m_fault = LinkFault::kNone;
   Duration m_delay{};
+  std::string m_endless_unit;
   CutFilter m_is_cut;
   /// By request id, from the time at which the request passed.
   std::map<std::string, std::weak_ptr<ProxyLink>> m_links_by_request;
--- a/soak/proxy_link.cc
+++ b/soak/proxy_link.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr size_t kEndlessBlockBytes = size_t{64} * 1024;
+
 void ResetSocket(asio::ip::tcp::socket& socket) {
   std::error_code ignored;
   // Closing with a linger time of zero sends RST instead of FIN.
@@ -74,6 +76,10 @@
     return;
   }
   std::string copy(direction.m_buffer.data(), bytes);
+  if (fault == LinkFault::kSendEndlessly && direction.m_is_response) {
+    SendEndlessly(direction, std::move(copy));
+    return;
+  }
   if (!direction.m_is_response) {
     m_proxy.NoteRequest(copy, shared_from_this());
   }
@@ -102,6 +108,47 @@
                     });
 }
 
+void ProxyLink::SendEndlessly(Direction& direction, std::string response) {
+  std::string unit = m_proxy.m_endless_unit;
+  if (unit.empty()) {
+    // Without a length, a response ends with its connection.
+    const size_t length = response.find("Content-Length");
+    if (length != std::string::npos) {
+      response[length] = 'X';
+    }
+    unit = "abcdefgh";
+  } else {
+    response.clear();
+  }
+  auto block = std::make_shared<std::string>();
+  while (block->size() < kEndlessBlockBytes) {
+    *block += unit;
+  }
+  auto begin = std::make_shared<std::string>(std::move(response));
+  asio::async_write(direction.m_to, asio::buffer(*begin),
+                    [self = shared_from_this(), begin, &direction, block](
+                        std::error_code error, size_t) {
+                      if (error) {
+                        self->Close();
+                        return;
+                      }
+                      self->Repeat(direction, block);
+                    });
+}
+
+void ProxyLink::Repeat(Direction& direction,
+                       const std::shared_ptr<std::string>& block) {
+  asio::async_write(direction.m_to, asio::buffer(*block),
+                    [self = shared_from_this(), &direction, block](
+                        std::error_code error, size_t) {
+                      if (error) {
+                        self->Close();
+                        return;
+                      }
+                      self->Repeat(direction, block);
+                    });
+}
+
 void ProxyLink::Close() {
   if (std::exchange(m_is_closed, true)) {
     return;
--- a/soak/proxy_link.h
+++ b/soak/proxy_link.h
@@ -37,6 +37,10 @@
   void Read(Direction& direction);
   void Forward(Direction& direction, size_t bytes);
   void Write(Direction& direction, std::string bytes);
+  /// Answers with bytes without end instead of the response that begins so.
+  void SendEndlessly(Direction& direction, std::string response);
+  /// Writes a block over and over until the caller closes.
+  void Repeat(Direction& direction, const std::shared_ptr<std::string>& block);
   /// Closes both sockets, as one side closed its connection.
   void Close();
 
--- a/soak/soak_environment.cc
+++ b/soak/soak_environment.cc
@@ -25,6 +25,7 @@
 constexpr const char* kDomains[] = {"d1", "d2", "d3"};
 constexpr int kVmsPerDomain = 3;
 constexpr int kServersPerDomainAndService = 2;
+constexpr size_t kVmMemoryMb = 160;
 constexpr const char* kServices[] = {"reads", "writes"};
 constexpr int kCallers = 24;
 constexpr uint16_t kStorePort = 9400;
@@ -225,6 +226,7 @@
       {"quota_address", AddressText(vm.m_ip, kQuotaPort)},
       {"peer_address", AddressText(vm.m_ip, kPeerPort)},
       {"store_address", AddressText(vm.m_ip, kStoreProxyPort)},
+      {"memory_mb", kVmMemoryMb},
       {"shortest_lease_s", 1},
       {"longest_ttl_s", 5},
       {"stop_grace_s", kGraceS},
@@ -367,6 +369,17 @@
   return {vm.m_name, Endpoint(vm.m_ip, kCallerPort)};
 }
 
+void SoakEnvironment::CheckMemory() {
+  for (const Vm& vm : m_vms) {
+    const size_t peak = vm.m_child->PeakMemoryBytes();
+    if (peak >= kVmMemoryMb * 1'000'000 / 2) {
+      m_ledger.Breach(
+          "memory", vm.m_name,
+          "is a VM that had " + std::to_string(peak) + " bytes in memory");
+    }
+  }
+}
+
 void SoakEnvironment::Poll() {
   for (Vm& vm : m_vms) {
     PollVm(vm);
--- a/soak/soak_environment.h
+++ b/soak/soak_environment.h
@@ -60,6 +60,8 @@
   void ProbeNewestRoute();
   /// Whether all running VMs have done so.
   bool IsNewestRouteInForce() const;
+  /// Records a breach for each VM that has had half of its memory or more.
+  void CheckMemory();
   Ledger& Records() { return m_ledger; }
   const CrashingRequests& Crashing() const { return m_crashing; }
   const NoticeChecker& Notices() const { return m_notices; }
@@ -80,6 +82,8 @@
   void DelayServer(Random& random);
   void ResetServer(Random& random);
   void SilenceServer(Random& random);
+  /// A server answers with bytes without end for some time.
+  void SendEndlessly(Random& random);
   void CutVmFromStore(Random& random);
   /// One or two VMs of a failure domain end and return after their entries have
   /// expired. About then the store stops answering another VM of the domain,
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -384,6 +384,31 @@
   });
 }
 
+void SoakEnvironment::SendEndlessly(Random& random) {
+  constexpr const char* kUnits[] = {
+      "",  // A body.
+      "HTTP/1.1 100 Continue\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nsorrelplank-request-id: other\r\n"
+      "content-length: 2\r\n\r\nab",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+      "a: b\r\n",
+      "abcdefgh"};
+  SoakServer& server = RandomServer(random);
+  const char* const unit = kUnits[random() % std::size(kUnits)];
+  const Duration time = RandomDuration(random, seconds(1), seconds(4));
+  if (!server.IsUp()) {
+    return;
+  }
+  MarkAllUnstable(time);
+  server.Proxy().SetEndlessUnit(unit);
+  server.Proxy().SetFault(LinkFault::kSendEndlessly);
+  ScheduleAfter(time, [&server] {
+    if (server.IsUp()) {
+      server.Proxy().SetFault(LinkFault::kNone);
+    }
+  });
+}
+
 void SoakEnvironment::CutVmFromStore(Random& random) {
   Vm& vm = RandomVm(random);
   const Duration time = RandomDuration(random, seconds(1), seconds(5));
--- a/soak/soak_main.cc
+++ b/soak/soak_main.cc
@@ -37,6 +37,7 @@
     {"delay_server", false, &SoakEnvironment::DelayServer},
     {"reset_server", false, &SoakEnvironment::ResetServer},
     {"silence_server", false, &SoakEnvironment::SilenceServer},
+    {"endless_server", false, &SoakEnvironment::SendEndlessly},
     {"cut_vm_from_store", false, &SoakEnvironment::CutVmFromStore},
     {"join_beside_cut_vm", false, &SoakEnvironment::JoinBesideCutVm},
     {"cut_vms_from_servers", false, &SoakEnvironment::CutVmsFromServers},
@@ -109,6 +110,7 @@
     m_environment.ClearFaults();
     CheckRecovery();
     CheckConfigInForce();
+    m_environment.CheckMemory();
     m_environment.StopCallers();
     const TimePoint idle_by = SteadyNow() + seconds(10);
     while (!m_environment.AreCallersIdle() && SteadyNow() < idle_by) {
