--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -2,10 +2,12 @@
 /// server.
 
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include <asio.hpp>
 #include <chrono>
 #include <exception>
+#include <fstream>
 #include <memory>
 #include <string>
 
@@ -143,5 +145,40 @@
   cr_assert_eq(g_fixture->m_server.UnwrittenResponses(), 0);
 }
 
+/// Resident memory of this process.
+size_t ResidentBytes() {
+  size_t pages = 0;
+  size_t resident_pages = 0;
+  std::ifstream("/proc/self/statm") >> pages >> resident_pages;
+  return resident_pages * static_cast<size_t>(sysconf(_SC_PAGESIZE));
+}
+
+// A caller sends a body within the limit in chunks of a byte. The server holds
+// a record for each of them, and one caller took a VM over its memory.
+Test(HttpServer, BodyInSmallChunks_WithinTheLimit_TakesLittleMemory) {
+  constexpr size_t kMaxGrowth = 4 * HttpLimits().m_max_body_bytes;
+  g_fixture->m_client.connect(g_fixture->Address());
+  asio::write(g_fixture->m_client,
+              asio::buffer(std::string("POST / HTTP/1.1\r\nHost: h\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n")));
+  g_fixture->m_client.non_blocking(true);
+  std::string chunks;
+  while (chunks.size() < 6 * HttpLimits().m_max_body_bytes) {
+    chunks += "1\r\na\r\n";
+  }
+  const size_t before = ResidentBytes();
+  size_t sent = 0;
+  std::error_code error;
+  while (sent < chunks.size() &&
+         (!error || error == asio::error::would_block)) {
+    sent += g_fixture->m_client.write_some(
+        asio::buffer(chunks.data() + sent, chunks.size() - sent), error);
+    g_fixture->m_io.poll();
+  }
+  g_fixture->RunUntilIdle();
+  const size_t after = ResidentBytes();
+  cr_expect_leq(after, before + kMaxGrowth, "%zu bytes more", after - before);
+}
+
 }  // namespace
 }  // namespace sorrelplank
