--- a/soak/proxy_link.cc
+++ b/soak/proxy_link.cc
@@ -124,28 +124,20 @@
   while (block->size() < kEndlessBlockBytes) {
     *block += unit;
   }
-  auto begin = std::make_shared<std::string>(std::move(response));
-  asio::async_write(direction.m_to, asio::buffer(*begin),
-                    [self = shared_from_this(), begin, &direction, block](
-                        std::error_code error, size_t) {
-                      if (error) {
-                        self->Close();
-                        return;
-                      }
-                      self->Repeat(direction, block);
-                    });
+  Repeat(direction, std::make_shared<std::string>(std::move(response)), block);
 }
 
 void ProxyLink::Repeat(Direction& direction,
+                       const std::shared_ptr<std::string>& begin,
                        const std::shared_ptr<std::string>& block) {
-  asio::async_write(direction.m_to, asio::buffer(*block),
-                    [self = shared_from_this(), &direction, block](
+  asio::async_write(direction.m_to, asio::buffer(*begin),
+                    [self = shared_from_this(), &direction, begin, block](
                         std::error_code error, size_t) {
                       if (error) {
                         self->Close();
                         return;
                       }
-                      self->Repeat(direction, block);
+                      self->Repeat(direction, block, block);
                     });
 }
 
--- a/soak/proxy_link.h
+++ b/soak/proxy_link.h
@@ -39,8 +39,11 @@
   void Write(Direction& direction, std::string bytes);
   /// Answers with bytes without end instead of the response that begins so.
   void SendEndlessly(Direction& direction, std::string response);
-  /// Writes a block over and over until the caller closes.
-  void Repeat(Direction& direction, const std::shared_ptr<std::string>& block);
+  /// Writes the beginning, then the block over and over until the caller
+  /// closes.
+  void Repeat(Direction& direction,
+              const std::shared_ptr<std::string>& begin,
+              const std::shared_ptr<std::string>& block);
   /// Closes both sockets, as one side closed its connection.
   void Close();
 
--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -51,6 +51,19 @@
 constexpr Duration kAnswerTime = milliseconds(500);
 /// How often a crashing request is sent.
 constexpr int kCrashingAttempts = 16;
+/// What a server sends over and over instead of a response; the first means a
+/// body.
+constexpr const char* kOtherResponse =
+    "HTTP/1.1 200 OK\r\nsorrelplank-request-id: other\r\ncontent-length: "
+    "2\r\n\r\nab";
+constexpr const char* kUnlabelledChunks =
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n";
+constexpr const char* kEndlessUnits[] = {"",
+                                         "HTTP/1.1 100 Continue\r\n\r\n",
+                                         kOtherResponse,
+                                         kUnlabelledChunks,
+                                         "a: b\r\n",
+                                         "abcdefgh"};
 /// Time after which all VMs know of an entry and of its successor, also VMs
 /// that were cut off from the store.
 constexpr Duration kEntryPropagationTime = seconds(8);
@@ -385,16 +398,8 @@
 }
 
 void SoakEnvironment::SendEndlessly(Random& random) {
-  constexpr const char* kUnits[] = {
-      "",  // A body.
-      "HTTP/1.1 100 Continue\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nsorrelplank-request-id: other\r\n"
-      "content-length: 2\r\n\r\nab",
-      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n",
-      "a: b\r\n",
-      "abcdefgh"};
   SoakServer& server = RandomServer(random);
-  const char* const unit = kUnits[random() % std::size(kUnits)];
+  const char* const unit = kEndlessUnits[random() % std::size(kEndlessUnits)];
   const Duration time = RandomDuration(random, seconds(1), seconds(4));
   if (!server.IsUp()) {
     return;
--- a/tests/endless_server_test.cc
+++ b/tests/endless_server_test.cc
@@ -52,6 +52,15 @@
     {"a status line", "HTTP/1.1 200 ", "abcdefgh"},
     {"no HTTP", "", "abcdefgh", false}};
 
+ServerRequest MakeRequest(size_t max_response_bytes) {
+  ServerRequest request;
+  request.m_bytes = "GET / HTTP/1.1\r\nid: 1\r\n\r\n";
+  request.m_request_id = "1";
+  request.m_request_id_name = "id";
+  request.m_max_response_bytes = max_response_bytes;
+  return request;
+}
+
 /// An endless server and a connection to it.
 struct EndlessFixture {
   asio::io_context m_io{1};
@@ -64,14 +73,9 @@
     m_connection = std::make_shared<ServerConnection>(m_io, m_server->Address(),
                                                       [](ServerConnection*) {});
     m_reply.reset();
-    ServerRequest send;
-    send.m_bytes = "GET / HTTP/1.1\r\nid: 1\r\n\r\n";
-    send.m_request_id = "1";
-    send.m_request_id_name = "id";
-    send.m_max_response_bytes = kMaxResponseBytes;
-    m_connection->Send(std::move(send), seconds(1), [this](ServerReply reply) {
-      m_reply = std::move(reply);
-    });
+    m_connection->Send(
+        MakeRequest(kMaxResponseBytes), seconds(1),
+        [this](ServerReply reply) { m_reply = std::move(reply); });
   }
 
   /// Until the reply, or for kEndTime.
@@ -125,11 +129,7 @@
   EndlessServer server(g_fixture->m_io, body);
   size_t ended = 0;
   for (size_t attempt = 1; attempt <= kAttempts; ++attempt) {
-    ServerRequest send;
-    send.m_bytes = "GET / HTTP/1.1\r\nid: 1\r\n\r\n";
-    send.m_request_id = "1";
-    send.m_request_id_name = "id";
-    send.m_max_response_bytes = 16U << 20U;
+    ServerRequest send = MakeRequest(16U << 20U);
     send.m_held = budget.ForResponse();
     pool.Send(AttemptId(attempt),
               {.m_instance = "i-1", .m_address = server.Address()},
@@ -161,11 +161,7 @@
   size_t peak = 0;
   for (uint64_t attempt = 1; attempt <= 2; ++attempt) {
     bool has_ended = false;
-    ServerRequest send;
-    send.m_bytes = "GET / HTTP/1.1\r\nid: 1\r\n\r\n";
-    send.m_request_id = "1";
-    send.m_request_id_name = "id";
-    send.m_max_response_bytes = 16U << 20U;
+    ServerRequest send = MakeRequest(16U << 20U);
     send.m_held = budget.ForResponse();
     pool.Send(AttemptId(attempt),
               {.m_instance = "i-1", .m_address = server.Address()},
