Name a send's end at one place; escape shortened texts in error messages

Read again as a newcomer would: an oversized response's name in logs and metrics was a nullable string beside another function. A shortened text in a decoding error is escaped as JSON again, as before it was shortened. A fetch that is too large is classified before what was sent is looked up. No behaviour changes but the escaping.

--- a/src/config/json_text.cc
+++ b/src/config/json_text.cc
@@ -63,12 +63,12 @@
   if (value.is_structured()) {
     return fmt::format("an {} of {}", value.type_name(), value.size());
   }
-  if (value.is_string()) {
-    return '"' +
-           ShortenText(value.get_ref<const std::string&>(), kMaxShownBytes) +
-           '"';
-  }
-  return value.dump();
+  const bool is_text = value.is_string();
+  const json shown = is_text
+                         ? json(ShortenText(value.get_ref<const std::string&>(),
+                                            kMaxShownBytes))
+                         : value;
+  return shown.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 }  // namespace sorrelplank
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -319,11 +319,11 @@
         code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) {
       return FetchOutcome::kConnectFailed;
     }
-    long sent = 0;  // NOLINT(google-runtime-int)
-    curl_easy_getinfo(fetch.m_easy, CURLINFO_REQUEST_SIZE, &sent);
     if (fetch.m_too_large) {
       return FetchOutcome::kTooLarge;
     }
+    long sent = 0;  // NOLINT(google-runtime-int)
+    curl_easy_getinfo(fetch.m_easy, CURLINFO_REQUEST_SIZE, &sent);
     double connect_seconds = 0;
     curl_easy_getinfo(fetch.m_easy, CURLINFO_CONNECT_TIME, &connect_seconds);
     if (sent == 0) {
--- a/src/proxy/reply_classifier.cc
+++ b/src/proxy/reply_classifier.cc
@@ -67,6 +67,10 @@
   return report;
 }
 
+const char* SendEndName(ReplyEnd reply_end, AttemptEnd end) {
+  return reply_end == ReplyEnd::kOversized ? "oversized" : AttemptEndName(end);
+}
+
 std::optional<ReportedLoad> ParseLoad(const std::string& text) {
   std::vector<uint32_t> numbers;
   const char* at = text.data();
--- a/src/proxy/reply_classifier_func.h
+++ b/src/proxy/reply_classifier_func.h
@@ -9,6 +9,7 @@
 
 namespace sorrelplank {
 
+enum class ReplyEnd : uint8_t;
 struct ProxyHeaderNames;
 struct ServerReply;
 
@@ -18,6 +19,10 @@
 AttemptReport ClassifyReply(const ServerReply& reply,
                             const ProxyHeaderNames& names);
 
+/// Name of a send's end in logs and metrics. An oversized response, which
+/// counts as lost, has a name of its own.
+const char* SendEndName(ReplyEnd reply_end, AttemptEnd end);
+
 /// Parses "RUNNING,WAITING,SLOTS" or "RUNNING,WAITING,SLOTS,WORK_PERCENT".
 /// Further whole numbers are ignored; returns std::nullopt for any other text.
 std::optional<ReportedLoad> ParseLoad(const std::string& text);
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -369,9 +369,7 @@
                                AttemptId attempt,
                                ServerReply reply) {
   const AttemptReport report = ClassifyReply(reply, m_names);
-  const char* const own_name = ReplyEndName(reply.m_end);
-  const char* const end =
-      own_name != nullptr ? own_name : AttemptEndName(report.m_end);
+  const char* const end = SendEndName(reply.m_end, report.m_end);
   m_metrics.CountAttempt(end, report.m_latency);
   const auto it = m_open_requests.find(request);
   if (it == m_open_requests.end()) {
--- a/src/proxy/server_reply_type.h
+++ b/src/proxy/server_reply_type.h
@@ -20,11 +20,6 @@
   kOversized,  ///< As kLost; the server sent more than a response may need.
 };
 
-/// Name in logs and metrics of an end that has one of its own, else nullptr.
-inline const char* ReplyEndName(ReplyEnd end) {
-  return end == ReplyEnd::kOversized ? "oversized" : nullptr;
-}
-
 /// Outcome of a send, with the response if there is one.
 struct ServerReply {
   ReplyEnd m_end = ReplyEnd::kLost;
