Pay for retries with recent requests only, so that moving callers bring no second budget

Cause: each VM limited its retries by the requests of its own last 10 s. A VM spent what the 10 s before the failures allowed, its callers left (restart, kill, cut, moved), and the VMs that took them over spent what the 10 s after allowed. The VMs' windows do not end together, so up to 20 s of requests paid for the retries of 10 s. Class: a bound over all VMs, held by parts whose windows differ.

Now requests of the last 2 of 19 buckets pay for a retry, or the extra. The retries of a window need at most the requests of 21 buckets, wherever they arrived, and 0.9 of the ratio is derived from that. The old window stays as a second limit. A VM with few requests keeps the credit for one retry.

--- a/src/steer/retry_budget_share.cc
+++ b/src/steer/retry_budget_share.cc
@@ -17,86 +17,62 @@
 
 }  // namespace
 
-// The current bucket is incomplete, so one extra bucket covers the window.
 RetryBudgetShare::RetryBudgetShare(Duration window)
-    : m_bucket_length(window / static_cast<int64_t>(kBuckets - 1)) {}
+    : m_all(window),
+      m_hedges(window),
+      m_first_calls(window),
+      m_returning(window) {}
 
 void RetryBudgetShare::CountRequest(TimePoint now) {
-  Advance(now);
-  ++Current().m_requests;
+  m_all.CountRequest(now);
+  m_hedges.CountRequest(now);
+  m_first_calls.CountRequest(now);
 }
 
 bool RetryBudgetShare::TrySpend(double ratio, double extra, TimePoint now) {
-  Advance(now);
-  const Bucket sum = Sum();
-  if (sum.m_retries + 1 > ratio * sum.m_requests + extra) {
+  if (!m_all.Allows(ratio, extra, now)) {
     return false;
   }
-  ++Current().m_retries;
+  m_all.Spend(ratio, now);
   return true;
 }
 
 bool RetryBudgetShare::TrySpendHedge(double ratio,
                                      double extra,
                                      TimePoint now) {
-  Advance(now);
-  const Bucket sum = Sum();
-  if (sum.m_hedges + 1 > kHedgeFraction * (ratio * sum.m_requests + extra) ||
+  const double part_ratio = kHedgeFraction * ratio;
+  if (!m_hedges.Allows(part_ratio, kHedgeFraction * extra, now) ||
       !TrySpend(ratio, extra, now)) {
     return false;
   }
-  ++Current().m_hedges;
+  m_hedges.Spend(part_ratio, now);
   return true;
 }
 
 void RetryBudgetShare::CountReturningNeed(TimePoint now) {
-  Advance(now);
-  ++Current().m_returning_needs;
+  m_returning.CountRequest(now);
 }
 
 bool RetryBudgetShare::TrySpendAsFirstCall(double ratio,
                                            double extra,
                                            TimePoint now) {
-  Advance(now);
-  const Bucket sum = Sum();
-  const double budget = ratio * sum.m_requests + extra;
+  const double budget = ratio * m_all.Requests(now) + extra;
+  if (budget <= 0) {
+    return false;
+  }
   // The budget falls by a bucket's part when its oldest bucket is dropped. The
   // margin keeps returning requests from finding it overdrawn then.
-  const double needs = sum.m_returning_needs;
-  const double margin = std::min(needs, budget / kBuckets);
+  const double needs = m_returning.Requests(now);
+  const double margin = std::min(needs, budget / RetryAccount::kBuckets);
   const double reserve =
       std::min(needs + margin, (1 - kFirstCallFraction) * budget);
-  if (sum.m_first_call_retries + 1 > budget - reserve ||
+  const double part = 1 - reserve / budget;
+  if (!m_first_calls.Allows(part * ratio, part * extra, now) ||
       !TrySpend(ratio, extra, now)) {
     return false;
   }
-  ++Current().m_first_call_retries;
+  m_first_calls.Spend(part * ratio, now);
   return true;
 }
 
-RetryBudgetShare::Bucket RetryBudgetShare::Sum() const {
-  Bucket sum;
-  for (const Bucket& bucket : m_buckets) {
-    sum.m_requests += bucket.m_requests;
-    sum.m_retries += bucket.m_retries;
-    sum.m_hedges += bucket.m_hedges;
-    sum.m_first_call_retries += bucket.m_first_call_retries;
-    sum.m_returning_needs += bucket.m_returning_needs;
-  }
-  return sum;
-}
-
-void RetryBudgetShare::Advance(TimePoint now) {
-  const int64_t bucket = now.time_since_epoch() / m_bucket_length;
-  if (bucket - m_bucket_number >= static_cast<int64_t>(kBuckets)) {
-    m_buckets.fill({});
-    m_bucket_number = bucket;
-    return;
-  }
-  while (m_bucket_number < bucket) {
-    ++m_bucket_number;
-    m_buckets[static_cast<size_t>(m_bucket_number) % kBuckets] = {};
-  }
-}
-
 }  // namespace sorrelplank
--- a/src/steer/retry_budget_share.h
+++ b/src/steer/retry_budget_share.h
@@ -3,15 +3,13 @@
 #ifndef SORRELPLANK_STEER_RETRY_BUDGET_SHARE_H_
 #define SORRELPLANK_STEER_RETRY_BUDGET_SHARE_H_
 
-#include <array>
-#include <cstddef>
-#include <cstdint>
-
 #include "core/time_type.h"
+#include "steer/retry_account.h"
 
 namespace sorrelplank {
 
-/// Limits retries in a sliding window by the number of requests in that window.
+/// Limits retries in a sliding window by the number of requests in that window,
+/// and keeps parts of them for some of the retries.
 ///
 /// The budget applies to all entry VMs together. Each VM is limited by its own
 /// requests, which sum to the total, plus an equal share of the fixed extra, so
@@ -42,29 +40,12 @@
   bool TrySpendAsFirstCall(double ratio, double extra, TimePoint now);
 
  private:
-  static constexpr size_t kBuckets = 20;
-
-  /// Counts for one twentieth of the window.
-  struct Bucket {
-    uint32_t m_requests = 0;
-    /// Including hedges.
-    uint32_t m_retries = 0;
-    uint32_t m_hedges = 0;
-    /// Part of the retries that TrySpendAsFirstCall() counted.
-    uint32_t m_first_call_retries = 0;
-    uint32_t m_returning_needs = 0;
-  };
-
-  void Advance(TimePoint now);
-  /// The counts of the whole window.
-  Bucket Sum() const;
-  Bucket& Current() {
-    return m_buckets[static_cast<size_t>(m_bucket_number) % kBuckets];
-  }
-
-  Duration m_bucket_length;
-  int64_t m_bucket_number = 0;
-  std::array<Bucket, kBuckets> m_buckets{};
+  RetryAccount m_all;
+  /// The part of hedges, and that of first calls.
+  RetryAccount m_hedges;
+  RetryAccount m_first_calls;
+  /// Returning requests that needed a retry.
+  RetryAccount m_returning;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "steer/idle_connections_func.h"
+#include "steer/retry_account.h"
 #include "steer/steering.h"
 
 namespace sorrelplank {
@@ -21,10 +22,6 @@
 /// With less time left than this, or than half of the usual latency, a retry
 /// would cost a server work for a response that comes too late.
 constexpr Duration kMinRetryTime = milliseconds(50);
-/// Fraction of the retry ratio that is used. The window of one VM ends at
-/// another moment than that of the sum over all VMs, by up to a tick of 1/20 of
-/// the window.
-constexpr double kRetryRatioFraction = 0.9;
 /// Fraction of the retry extra that is used. A process and those that follow it
 /// within a window may spend up to two shares (see RetryExtraShare).
 constexpr double kRetryExtraFraction = 0.45;
@@ -190,7 +187,7 @@
     return true;
   }
   RetryBudgetShare& retries = Service(request.m_service).Retries();
-  const double ratio = m_settings.m_retry_ratio * kRetryRatioFraction;
+  const double ratio = m_settings.m_retry_ratio * RetryAccount::kRatioFraction;
   if (request.m_rank.m_is_first_call) {
     request.m_is_retry_charged =
         retries.TrySpendAsFirstCall(ratio, RetryExtra(now), now);
@@ -212,8 +209,9 @@
       HasRetryLeft(request, now) &&
       Service(request.m_service)
           .Retries()
-          .TrySpendHedge(m_settings.m_retry_ratio * kRetryRatioFraction,
-                         RetryExtra(now), now);
+          .TrySpendHedge(
+              m_settings.m_retry_ratio * RetryAccount::kRatioFraction,
+              RetryExtra(now), now);
   return request.m_is_retry_charged;
 }
 
--- a/tests/retry_budget_restart_test.cc
+++ b/tests/retry_budget_restart_test.cc
@@ -1,4 +1,5 @@
-/// @file retry_budget_restart_test.cc The retry budget of VMs that restart.
+/// @file retry_budget_restart_test.cc The retry budget over all VMs, while VMs
+/// restart or their callers move.
 
 #include <criterion/criterion.h>
 
@@ -15,6 +16,8 @@
 constexpr size_t kRequestsPerRun = 12;
 constexpr double kRatio = 0.2;
 constexpr double kExtra = 40;
+/// After this time, servers that rejected a request no longer count as full.
+constexpr Duration kRequestInterval = milliseconds(80);
 
 std::vector<FleetMember> MakeFleet(size_t vms) {
   std::vector<FleetMember> fleet;
@@ -29,11 +32,11 @@
 struct RunFixture : SteeringFixture {
   size_t m_retries = 0;
 
-  explicit RunFixture(size_t listed_vms)
-      : SteeringFixture([] {
+  explicit RunFixture(size_t listed_vms, double extra = kExtra)
+      : SteeringFixture([extra] {
           SteeringSettings settings = MakeSettings();
           settings.m_retry_ratio = kRatio;
-          settings.m_retry_extra = kExtra;
+          settings.m_retry_extra = extra;
           return settings;
         }()) {
     List(listed_vms);
@@ -41,6 +44,14 @@
 
   void List(size_t vms) { m_steering.SetFleet(MakeFleet(vms), m_now); }
 
+  void AnswerRequests(size_t requests) {
+    for (size_t request = 0; request < requests; ++request) {
+      Arrive("/read/x", request);
+      End(*Last<SendToServer>(), AttemptEnd::kAnswered);
+      Pass(kRequestInterval);
+    }
+  }
+
   void RejectRequests(size_t requests) {
     for (size_t request = 0; request < requests; ++request) {
       const size_t before = Count<SendToServer>();
@@ -50,8 +61,7 @@
       }
       const size_t sends = Count<SendToServer>() - before;
       m_retries += sends > 1 ? sends - 1 : 0;
-      // Until the servers no longer count as full.
-      Pass(milliseconds(80));
+      Pass(kRequestInterval);
     }
   }
 };
@@ -100,5 +110,21 @@
   cr_assert_gt(fixture.m_retries, kExtra * 0.4);
 }
 
+// All servers start to reject, and 2 s later the callers move to the next VM.
+// Each VM retried as much as 10 s of the same callers' requests allow.
+Test(RetryBudgetRestart, CallersMoveAfterFailuresBegin_RetriesStayInBudget) {
+  constexpr size_t kWindowRequests = 125;
+  constexpr size_t kBeforeMove = 25;
+  RunFixture first(2, 0);
+  RunFixture second(2, 0);
+  first.AnswerRequests(kWindowRequests);
+  first.RejectRequests(kBeforeMove);
+  second.Pass(first.m_now - second.m_now);
+  second.RejectRequests(kWindowRequests - kBeforeMove);
+  const size_t retries = first.m_retries + second.m_retries;
+  cr_assert_leq(static_cast<double>(retries), kRatio * kWindowRequests, "%zu",
+                retries);
+}
+
 }  // namespace
 }  // namespace sorrelplank
