--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -3,11 +3,14 @@
 #include "net/http_server.h"
 
 #include <algorithm>
+#include <chrono>
 #include <future>
 #include <restinio/all.hpp>
 #include <unordered_map>
 #include <utility>
 
+#include "core/time_type.h"
+
 namespace sorrelplank {
 
 namespace {
@@ -20,16 +23,25 @@
 /// RESTinio's body limit is this multiple of ours, so that a body slightly too
 /// large gets a 413 response instead of a closed connection.
 constexpr size_t kBodyLimitFactor = 4;
+/// Consecutive turns of the event loop without a new connection or request
+/// after which none is waiting. A turn handles what the one before it found.
+constexpr int kQuietTurns = 3;
+/// Maximum time to wait for them, if there are new ones in each turn.
+constexpr Duration kMaxReadingTime = milliseconds(500);
 
-/// Reports closed connections to the ClosedHandler.
+/// Reports closed connections to the ClosedHandler, and counts accepted ones.
 class ConnectionListener {
  public:
-  explicit ConnectionListener(HttpServer::ClosedHandler closed)
-      : m_closed(std::move(closed)) {}
+  ConnectionListener(HttpServer::ClosedHandler closed,
+                     std::shared_ptr<size_t> arrivals)
+      : m_closed(std::move(closed)), m_arrivals(std::move(arrivals)) {}
 
   void state_changed(  // NOLINT(readability-identifier-naming)
       const rest::connection_state::notice_t& notice) {
     const auto cause = notice.cause();
+    if (std::holds_alternative<rest::connection_state::accepted_t>(cause)) {
+      ++*m_arrivals;
+    }
     const bool is_closed =
         std::holds_alternative<rest::connection_state::closed_t>(cause);
     if (is_closed && m_closed) {
@@ -39,6 +51,7 @@
 
  private:
   HttpServer::ClosedHandler m_closed;
+  std::shared_ptr<size_t> m_arrivals;
 };
 
 struct Traits : public rest::default_single_thread_traits_t {
@@ -105,7 +118,8 @@
        HttpLimits limits,
        Handler handler,
        ClosedHandler closed)
-      : m_handler(std::move(handler)),
+      : m_io(io),
+        m_handler(std::move(handler)),
         m_server(rest::external_io_context(io), [&](auto& settings) {
           Configure(settings, ip, port, limits, std::move(closed));
         }) {
@@ -122,7 +136,15 @@
   }
 
   void Stop() {
-    m_server.close_async([] {}, [](const std::exception_ptr&) {});
+    AfterReading([this] {
+      m_server.close_async([] {}, [](const std::exception_ptr&) {});
+    });
+  }
+
+  void AfterReading(std::function<void()> then) {
+    CountQuietTurns(*m_arrivals, 0,
+                    std::chrono::steady_clock::now() + kMaxReadingTime,
+                    std::move(then));
   }
 
   size_t UnwrittenResponses() const { return *m_unwritten_responses; }
@@ -159,14 +181,33 @@
           options.set_option(asio::ip::tcp::no_delay(true));
         })
         .connection_state_listener(
-            std::make_shared<ConnectionListener>(std::move(closed)))
+            std::make_shared<ConnectionListener>(std::move(closed), m_arrivals))
         .request_handler([this, limits](const rest::request_handle_t& from) {
           Handle(from, limits);
           return rest::request_accepted();
         });
   }
 
+  void CountQuietTurns(size_t arrivals,
+                       int quiet_turns,
+                       std::chrono::steady_clock::time_point latest,
+                       std::function<void()> then) {
+    asio::post(m_io, [this, alive = std::weak_ptr<void>(m_alive), arrivals,
+                      quiet_turns, latest, then = std::move(then)]() mutable {
+      if (alive.expired()) {
+        return;
+      }
+      const int turns = *m_arrivals == arrivals ? quiet_turns + 1 : 0;
+      if (turns == kQuietTurns || std::chrono::steady_clock::now() >= latest) {
+        then();
+        return;
+      }
+      CountQuietTurns(*m_arrivals, turns, latest, std::move(then));
+    });
+  }
+
   void Handle(const rest::request_handle_t& from, HttpLimits limits) {
+    ++*m_arrivals;
     if (from->body().size() > limits.m_max_body_bytes) {
       HttpResponse refusal;
       refusal.m_status = 413;
@@ -196,7 +237,12 @@
          });
   }
 
+  asio::io_context& m_io;
   Handler m_handler;
+  /// Connections accepted and requests read.
+  std::shared_ptr<size_t> m_arrivals = std::make_shared<size_t>(0);
+  /// Expires with this object.
+  std::shared_ptr<void> m_alive = std::make_shared<int>(0);
   /// Shared with callbacks that may run after this object is destroyed.
   std::shared_ptr<size_t> m_unwritten_responses = std::make_shared<size_t>(0);
   rest::http_server_t<Traits> m_server;
@@ -221,6 +267,10 @@
   m_impl->Stop();
 }
 
+void HttpServer::AfterReading(std::function<void()> then) {
+  m_impl->AfterReading(std::move(then));
+}
+
 size_t HttpServer::UnwrittenResponses() const {
   return m_impl->UnwrittenResponses();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -40,9 +40,13 @@
              ClosedHandler closed = nullptr);
   ~HttpServer();
 
-  /// Stops accepting connections.
+  /// Stops accepting connections, once those that the kernel has accepted have
+  /// been taken over; closing the socket would reset them.
   void Stop();
 
+  /// Calls `then` when the event loop has read all requests that have arrived.
+  void AfterReading(std::function<void()> then);
+
   /// Number of responses passed to the server and not yet written completely.
   size_t UnwrittenResponses() const;
 
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "net/http_server.h"
 #include "tests/free_port_func.h"
@@ -20,9 +21,11 @@
 /// Exceeds the socket buffers of both sides.
 constexpr size_t kLongBodyBytes = 32U << 20U;
 
-/// A server that responds to every request with a long body, and a client.
+/// A server that responds to every request with a body, long by default, and a
+/// client.
 struct HttpServerFixture {
   asio::io_context m_io{1};
+  size_t m_body_bytes = kLongBodyBytes;
   /// Expires with the response's m_until_written.
   std::weak_ptr<void> m_held;
   uint16_t m_port = FreePort();
@@ -33,7 +36,7 @@
                       [this](const HttpRequest&, const HttpReply& reply) {
                         HttpResponse response;
                         response.m_status = 200;
-                        response.m_body.assign(kLongBodyBytes, 'x');
+                        response.m_body.assign(m_body_bytes, 'x');
                         response.m_close = true;
                         const auto held = std::make_shared<int>(0);
                         m_held = held;
@@ -136,6 +139,32 @@
   cr_assert_gt(g_fixture->ReadAll(), kLongBodyBytes);
 }
 
+// A planned stop while the event loop is busy: connections that the kernel had
+// accepted were reset, with whole requests on them.
+Test(HttpServer, Stop_ConnectionsWaitToBeAccepted_AllAreAnswered) {
+  HttpServerFixture& fixture = *g_fixture;
+  fixture.m_body_bytes = 10;
+  std::vector<asio::ip::tcp::socket> clients;
+  for (int client = 0; client < 5; ++client) {
+    clients.emplace_back(fixture.m_io).connect(fixture.Address());
+    asio::write(clients.back(),
+                asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+  }
+  fixture.m_server.Stop();
+  fixture.RunUntilIdle();
+  for (asio::ip::tcp::socket& client : clients) {
+    std::string response;
+    std::error_code error;
+    asio::read(client, asio::dynamic_buffer(response), error);
+    cr_assert_eq(error, asio::error::eof, "%s", error.message().c_str());
+    cr_assert_neq(response.find("200 OK"), std::string::npos);
+  }
+  asio::ip::tcp::socket late(fixture.m_io);
+  std::error_code error;
+  late.connect(fixture.Address(), error);
+  cr_assert_eq(error, asio::error::connection_refused);
+}
+
 // The client disconnects during the response. Nothing is left to wait for.
 Test(HttpServer, LongResponse_ClientDisconnects_NothingUnwritten) {
   g_fixture->SendRequest();
