Log what each retry was charged to

Each charged send now has a retry_charged line with the window's requests, retries and the extra's part. A repeat without it was free, since no byte of the attempts before it had left.

--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -340,6 +340,16 @@
                {"returning", int64_t{action.m_is_returning ? 1 : 0}},
                {"passed_on", int64_t{open.m_is_passed_on ? 1 : 0}},
                {"config", static_cast<int64_t>(action.m_table_version)}});
+  if (action.m_retry_charge) {
+    const RetryCharge& charge = *action.m_retry_charge;
+    m_log.Write("retry_charged",
+                {{"request", open.m_id},
+                 {"attempt", static_cast<int64_t>(action.m_attempt.Get())},
+                 {"requests", int64_t{charge.m_requests}},
+                 {"retries", int64_t{charge.m_retries}},
+                 {"paid_by_extra", charge.m_paid_by_extra},
+                 {"extra", charge.m_extra}});
+  }
   m_metrics.CountSend(action.m_service, action.m_region);
   if (action.m_is_second_choice) {
     m_metrics.CountSecondChoice(action.m_service);
--- a/src/steer/retry_account.cc
+++ b/src/steer/retry_account.cc
@@ -37,6 +37,14 @@
   return Sum().m_requests;
 }
 
+RetryCharge RetryAccount::Describe(double extra) const {
+  const Bucket sum = Sum();
+  return {.m_requests = sum.m_requests,
+          .m_retries = sum.m_retries,
+          .m_paid_by_extra = sum.m_paid_by_extra,
+          .m_extra = extra};
+}
+
 RetryAccount::Bucket RetryAccount::Sum() const {
   Bucket sum;
   for (const Bucket& bucket : m_buckets) {
--- a/src/steer/retry_account.h
+++ b/src/steer/retry_account.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 
 #include "core/time_type.h"
+#include "steer/retry_charge_type.h"
 
 namespace sorrelplank {
 
@@ -42,6 +43,9 @@
   /// Requests in the window.
   uint32_t Requests(TimePoint now);
 
+  /// State after Spend().
+  RetryCharge Describe(double extra) const;
+
  private:
   /// Including the current, incomplete bucket.
   static constexpr size_t kCreditBuckets = 2;
--- a/src/steer/retry_budget_share.cc
+++ b/src/steer/retry_budget_share.cc
@@ -29,36 +29,41 @@
   m_first_calls.CountRequest(now);
 }
 
-bool RetryBudgetShare::TrySpend(double ratio, double extra, TimePoint now) {
+std::optional<RetryCharge> RetryBudgetShare::TrySpend(double ratio,
+                                                      double extra,
+                                                      TimePoint now) {
   if (!m_all.Allows(ratio, extra, now)) {
-    return false;
+    return std::nullopt;
   }
   m_all.Spend(ratio, now);
-  return true;
+  return m_all.Describe(extra);
 }
 
-bool RetryBudgetShare::TrySpendHedge(double ratio,
-                                     double extra,
-                                     TimePoint now) {
+std::optional<RetryCharge> RetryBudgetShare::TrySpendHedge(double ratio,
+                                                           double extra,
+                                                           TimePoint now) {
   const double part_ratio = kHedgeFraction * ratio;
-  if (!m_hedges.Allows(part_ratio, kHedgeFraction * extra, now) ||
-      !TrySpend(ratio, extra, now)) {
-    return false;
+  if (!m_hedges.Allows(part_ratio, kHedgeFraction * extra, now)) {
+    return std::nullopt;
   }
-  m_hedges.Spend(part_ratio, now);
-  return true;
+  const auto charge = TrySpend(ratio, extra, now);
+  if (charge) {
+    m_hedges.Spend(part_ratio, now);
+  }
+  return charge;
 }
 
 void RetryBudgetShare::CountReturningNeed(TimePoint now) {
   m_returning.CountRequest(now);
 }
 
-bool RetryBudgetShare::TrySpendAsFirstCall(double ratio,
-                                           double extra,
-                                           TimePoint now) {
+std::optional<RetryCharge> RetryBudgetShare::TrySpendAsFirstCall(
+    double ratio,
+    double extra,
+    TimePoint now) {
   const double budget = ratio * m_all.Requests(now) + extra;
   if (budget <= 0) {
-    return false;
+    return std::nullopt;
   }
   // The budget falls by a bucket's part when its oldest bucket is dropped. The
   // margin keeps returning requests from finding it overdrawn then.
@@ -67,12 +72,14 @@
   const double reserve =
       std::min(needs + margin, (1 - kFirstCallFraction) * budget);
   const double part = 1 - reserve / budget;
-  if (!m_first_calls.Allows(part * ratio, part * extra, now) ||
-      !TrySpend(ratio, extra, now)) {
-    return false;
+  if (!m_first_calls.Allows(part * ratio, part * extra, now)) {
+    return std::nullopt;
+  }
+  const auto charge = TrySpend(ratio, extra, now);
+  if (charge) {
+    m_first_calls.Spend(part * ratio, now);
   }
-  m_first_calls.Spend(part * ratio, now);
-  return true;
+  return charge;
 }
 
 }  // namespace sorrelplank
--- a/src/steer/retry_budget_share.h
+++ b/src/steer/retry_budget_share.h
@@ -3,8 +3,11 @@
 #ifndef SORRELPLANK_STEER_RETRY_BUDGET_SHARE_H_
 #define SORRELPLANK_STEER_RETRY_BUDGET_SHARE_H_
 
+#include <optional>
+
 #include "core/time_type.h"
 #include "steer/retry_account.h"
+#include "steer/retry_charge_type.h"
 
 namespace sorrelplank {
 
@@ -22,11 +25,16 @@
   void CountRequest(TimePoint now);
 
   /// Counts a retry if the budget allows it; to be called before sending.
-  bool TrySpend(double ratio, double extra, TimePoint now);
+  /// Returns nothing if it does not.
+  std::optional<RetryCharge> TrySpend(double ratio,
+                                      double extra,
+                                      TimePoint now);
 
   /// The same for a retry that is a hedge. Hedges get a part of the budget, so
   /// that the rest stays available for failures.
-  bool TrySpendHedge(double ratio, double extra, TimePoint now);
+  std::optional<RetryCharge> TrySpendHedge(double ratio,
+                                           double extra,
+                                           TimePoint now);
 
   /// Counts a returning request that needs a retry, whether it gets one or not.
   void CountReturningNeed(TimePoint now);
@@ -37,7 +45,9 @@
   /// Load pattern: servers shed half of all requests, and the retries of first
   /// calls spend the budget as soon as it grows. Returning requests then find
   /// none, and are rejected for good.
-  bool TrySpendAsFirstCall(double ratio, double extra, TimePoint now);
+  std::optional<RetryCharge> TrySpendAsFirstCall(double ratio,
+                                                 double extra,
+                                                 TimePoint now);
 
  private:
   RetryAccount m_all;
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "steer/crash_record_type.h"
 #include "steer/passed_on_terms_type.h"
 #include "steer/quota_message_type.h"
+#include "steer/retry_charge_type.h"
 #include "steer/steer_refusal_type.h"
 
 namespace sorrelplank {
@@ -54,6 +56,8 @@
   uint64_t m_table_version = 0;
   /// Whether the request was recognised as sent before and rejected.
   bool m_is_returning = false;
+  /// Set if the send was charged to the retry budget.
+  std::optional<RetryCharge> m_retry_charge{};
 };
 
 /// Pass a request on to another entry VM, which sends it to a server; the
--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -15,6 +15,7 @@
 #include "core/time_type.h"
 #include "steer/passed_on_terms_type.h"
 #include "steer/region_shares.h"
+#include "steer/retry_charge_type.h"
 
 namespace sorrelplank {
 
@@ -130,7 +131,7 @@
   /// The server whose slot it primarily waits for.
   std::shared_ptr<ServerState> m_queued_for;
   /// The retry budget has been charged for the next attempt.
-  bool m_is_retry_charged = false;
+  std::optional<RetryCharge> m_retry_charge;
   /// An attempt ended without proof that the request did not run.
   bool m_may_have_run = false;
   /// Held until it is known whether the server that lost it has crashed.
--- a/src/steer/steering_peers.cc
+++ b/src/steer/steering_peers.cc
@@ -90,7 +90,7 @@
   m_peers.CountSend(peer->m_vm, now);
   request.m_peer_attempt = PeerAttempt{attempt, peer->m_vm};
   request.m_tried_peers.push_back(peer->m_vm);
-  request.m_is_retry_charged = false;
+  request.m_retry_charge.reset();
   ++request.m_started_sends;
   m_sink(SendToPeer{.m_request = request.m_facts.m_request,
                     .m_attempt = attempt,
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -173,7 +173,7 @@
 }
 
 bool Steering::MayRetry(SteeredRequest& request, TimePoint now) {
-  if (request.m_is_retry_charged) {
+  if (request.m_retry_charge) {
     return true;
   }
   if (!HasRetryLeft(request, now)) {
@@ -188,31 +188,31 @@
   }
   RetryBudgetShare& retries = Service(request.m_service).Retries();
   const double ratio = m_settings.m_retry_ratio * RetryAccount::kRatioFraction;
+  const double extra = RetryExtra(now);
   if (request.m_rank.m_is_first_call) {
-    request.m_is_retry_charged =
-        retries.TrySpendAsFirstCall(ratio, RetryExtra(now), now);
-    return request.m_is_retry_charged;
+    request.m_retry_charge = retries.TrySpendAsFirstCall(ratio, extra, now);
+    return request.m_retry_charge.has_value();
   }
   const bool is_returning = request.m_returned_after > Duration::zero();
   if (is_returning && !std::exchange(request.m_is_retry_need_counted, true)) {
     retries.CountReturningNeed(now);
   }
-  request.m_is_retry_charged = retries.TrySpend(ratio, RetryExtra(now), now);
-  return request.m_is_retry_charged;
+  request.m_retry_charge = retries.TrySpend(ratio, extra, now);
+  return request.m_retry_charge.has_value();
 }
 
 bool Steering::MayHedge(SteeredRequest& request, TimePoint now) {
-  if (request.m_is_retry_charged) {
+  if (request.m_retry_charge) {
     return true;
   }
-  request.m_is_retry_charged =
-      HasRetryLeft(request, now) &&
-      Service(request.m_service)
-          .Retries()
-          .TrySpendHedge(
-              m_settings.m_retry_ratio * RetryAccount::kRatioFraction,
-              RetryExtra(now), now);
-  return request.m_is_retry_charged;
+  if (!HasRetryLeft(request, now)) {
+    return false;
+  }
+  const double ratio = m_settings.m_retry_ratio * RetryAccount::kRatioFraction;
+  request.m_retry_charge = Service(request.m_service)
+                               .Retries()
+                               .TrySpendHedge(ratio, RetryExtra(now), now);
+  return request.m_retry_charge.has_value();
 }
 
 bool Steering::HasRetryLeft(const SteeredRequest& request, TimePoint now) {
@@ -283,7 +283,6 @@
     UpdateShares(now);
   }
   server->MarkWarmFor(request.m_facts.m_object, now);
-  request.m_is_retry_charged = false;
   const bool is_second_choice =
       request.m_first_choice != nullptr && request.m_first_choice != server;
   const ServiceBaseline usual =
@@ -320,7 +319,8 @@
       .m_passed_over = request.m_passed_over,
       .m_is_second_choice = is_second_choice,
       .m_table_version = request.m_table->m_version,
-      .m_is_returning = request.m_returned_after > Duration::zero()});
+      .m_is_returning = request.m_returned_after > Duration::zero(),
+      .m_retry_charge = std::exchange(request.m_retry_charge, std::nullopt)});
 }
 
 void Steering::Ended(RequestId id,
