Name the oversized response of another VM in log and counter

The decision stays: it counts as lost.

PeerFields Reply_Oversized_*; its function is new, so it was not run on the code before.

--- a/src/proxy/peer_fields.cc
+++ b/src/proxy/peer_fields.cc
@@ -9,6 +9,7 @@
 #include "net/http_message_type.h"
 #include "proxy/peer_fields_func.h"
 #include "proxy/server_reply_type.h"
+#include "steer/steer_refusal_type.h"
 
 namespace sorrelplank {
 
@@ -75,4 +76,13 @@
   return report;
 }
 
+const char* PeerSendEndName(const ServerReply& reply,
+                            const PeerReport& report) {
+  if (reply.m_end == ReplyEnd::kOversized) {
+    return "oversized";
+  }
+  return report.m_refusal ? DescribeSteerRefusal(*report.m_refusal).m_name
+                          : PeerEndName(report.m_end);
+}
+
 }  // namespace sorrelplank
--- a/src/proxy/peer_fields_func.h
+++ b/src/proxy/peer_fields_func.h
@@ -30,6 +30,10 @@
 /// What the response of another entry VM says about a request passed on to it.
 PeerReport ClassifyPeerReply(const ServerReply& reply);
 
+/// Name of how a send to another entry VM ended, for logs and metrics. A
+/// response that exceeded a limit has a name of its own; it counts as lost.
+const char* PeerSendEndName(const ServerReply& reply, const PeerReport& report);
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_PROXY_PEER_FIELDS_FUNC_H_
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -301,9 +301,7 @@
                                    AttemptId attempt,
                                    ServerReply reply) {
   const PeerReport report = ClassifyPeerReply(reply);
-  const char* const outcome =
-      report.m_refusal ? DescribeSteerRefusal(*report.m_refusal).m_name
-                       : PeerEndName(report.m_end);
+  const char* const outcome = PeerSendEndName(reply, report);
   m_metrics.CountPeerSend(outcome);
   const auto it = m_open_requests.find(request);
   if (it == m_open_requests.end()) {
--- a/tests/peer_fields_test.cc
+++ b/tests/peer_fields_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <limits>
+#include <string>
 
 #include "net/http_message_type.h"
 #include "proxy/peer_fields_func.h"
@@ -42,5 +43,14 @@
   cr_assert(report.m_refusal == SteerRefusal::kNoServer);
 }
 
+// Another VM's oversized response looked like any lost one in logs and metrics.
+Test(PeerFields, Reply_Oversized_HasItsOwnName) {
+  ServerReply reply;
+  reply.m_end = ReplyEnd::kOversized;
+  const PeerReport report = ClassifyPeerReply(reply);
+  cr_assert_eq(report.m_end, PeerEnd::kLost);
+  cr_assert_eq(std::string(PeerSendEndName(reply, report)), "oversized");
+}
+
 }  // namespace
 }  // namespace sorrelplank
