--- a/src/net/http_message_type.h
+++ b/src/net/http_message_type.h
@@ -69,8 +69,7 @@
 
 /// A request to send.
 struct HttpFetch {
-  /// Enough for the largest response of 4 MiB over a link of 10 Mbit/s that
-  /// other traffic shares.
+  /// Limit on what an arriving response may take beyond m_timeout.
   static constexpr Duration kMaxArrivalTime = seconds(10);
 
   std::string m_method = "GET";
