--- a/review/4/driver.cc
+++ b/review/4/driver.cc
@@ -1,39 +1,81 @@
-// Clients pipeline idempotent requests; the entry VM gets SIGTERM while the
-// upstreams work on them. Each request that an upstream runs has to be answered
-// completely, since its work ends well before the last sixth of GraceS.
+// Many clients read the same page. The upstreams of one zone crash at once
+// while they work on it; eight of twelve upstreams stay sound. Later all
+// processes of the system are killed, which is the final fault, and start again.
+// Of the requests sent later than RecoveryS after that a quarter has to be
+// served.
 #include "../kit-2/kit.hpp"
 
 namespace {
 
-constexpr int kConnections = 8;
-constexpr int kDepth = 3;
-// The site's time budget and route timeout for this kind of request.
-constexpr int kDeadlineMs = 8000;
+struct Zone {
+  const char* name;
+  const char* region;
+  int upstreams;
+};
+constexpr Zone kZones[] = {{"vantaa-a", "uusimaa", 4},
+                           {"tampere-a", "pirkanmaa", 4},
+                           {"rovaniemi-a", "lappi", 4}};
+constexpr int kEdgesPerZone = 2;
+// The zone whose upstreams crash is the first one.
+constexpr int kCrashing = kZones[0].upstreams;
+constexpr int kWorkMs = 400;
+constexpr int kDeadlineMs = 3000;
+constexpr int kIntervalMs = 10;
+constexpr double kRecoveryS = 15;
 
-struct Client {
-  int fd = -1;
-  std::vector<std::string> ids;
-  std::vector<std::string> outcomes;
+struct Sent {
+  double at = 0;
+  int status = 0;  // 0: no answer.
 };
+std::mutex g_sent_mutex;
+std::vector<Sent> g_sent;
 
-void Read(Client& client) {
-  kit::Reader reader(client.fd);
-  for (const std::string& id : client.ids) {
-    const kit::Message answer = reader.Read(kDeadlineMs);
-    if (!answer.complete) {
-      client.outcomes.push_back(reader.Closed() ? "closed" : "silent");
-      kit::Record("client: %s gets no answer, connection %s", id.c_str(),
-                  reader.Closed() ? "closed" : "silent");
-      continue;
+void SendOne(const kit::Edge& edge, int number) {
+  Sent sent;
+  sent.at = kit::Now();
+  const std::string id = "q" + std::to_string(number);
+  // The same content for all: method, path and key. Only the id differs.
+  const std::string request =
+      "GET /kaba81/board HTTP/1.1\r\nHost: wemi33.example\r\n"
+      "Sorrelplank-Request-Id: " +
+      id +
+      "\r\nSorrelplank-Affinity-Key: 17\r\nSorrelplank-Deadline-Ms: " +
+      std::to_string(kDeadlineMs) + "\r\nx-work-ms: " +
+      std::to_string(kWorkMs) + "\r\n\r\n";
+  const int fd = kit::Connect(edge.ip, edge.front);
+  if (fd >= 0) {
+    if (kit::SendAll(fd, request)) {
+      kit::Reader reader(fd);
+      const kit::Message answer = reader.Read(kDeadlineMs + 500);
+      if (answer.complete) {
+        const bool is_own = answer.body == "answer to " + id + "\n";
+        sent.status = answer.Status() == 200 && !is_own ? 1 : answer.Status();
+        kit::Record("client: %s at %s gets %d %s", id.c_str(),
+                    edge.name.c_str(), answer.Status(),
+                    answer.Status() == 200
+                        ? ""
+                        : (answer.body + " Retry-After " +
+                           answer.Get("retry-after"))
+                              .c_str());
+      }
     }
-    const bool is_own = answer.body == "answer to " + id + "\n";
-    client.outcomes.push_back(answer.Status() == 200 && is_own
-                                  ? "served"
-                                  : "status " +
-                                        std::to_string(answer.Status()));
-    kit::Record("client: %s gets %d, connection: %s", id.c_str(),
-                answer.Status(), answer.Get("connection").c_str());
+    close(fd);
   }
+  std::lock_guard lock(g_sent_mutex);
+  g_sent.push_back(sent);
+}
+
+double ServedShare(double from, double until, int& count) {
+  std::lock_guard lock(g_sent_mutex);
+  int served = 0;
+  count = 0;
+  for (const Sent& sent : g_sent) {
+    if (sent.at >= from && sent.at < until) {
+      ++count;
+      served += sent.status == 200 ? 1 : 0;
+    }
+  }
+  return count == 0 ? 0 : static_cast<double>(served) / count;
 }
 
 }  // namespace
@@ -45,89 +87,103 @@
   const std::string config =
       R"({"Version":"r1","Routes":{"Columns":["Name","Host","Prefix","Service",
 "Kind","TimeoutS","TargetLatencyS","Priority","MaxAttempts"],"Rows":[
-["digest","lopu12.example","/hucu512/","digestor","idempotent",7.0,1.2,2,2]]},
+["lookup","wemi33.example","/kaba81/","standview","idempotent",2.5,0.5,2,2]]},
 "Services":{"Columns":["Name","HealthPath","MaxConns","ColdStartS","ColdPerS"],
-"Rows":[["digestor","/health",390,3.0,4.0]]},"Limits":{"MaxHeaderBytes":8192,
+"Rows":[["standview","/health",390,3.0,4.0]]},"Limits":{"MaxHeaderBytes":8192,
 "MaxBodyBytes":1048576,"HeaderTimeoutS":3.0,"IdleTimeoutS":15.0}})";
   if (store.Put("op/config", config) != 200) {
     kit::CannotRun("the store refuses the configuration");
   }
   std::vector<std::unique_ptr<kit::Upstream>> upstreams;
-  for (int i = 0; i < 6; ++i) {
-    upstreams.push_back(std::make_unique<kit::Upstream>(
-        store, "i-digest" + std::to_string(i), "digestor", "vantaa-a", 8,
-        kit::Ip(100 + i)));
-  }
   std::vector<kit::Edge> edges;
-  for (int i = 1; i <= 2; ++i) {
-    edges.push_back(kit::MakeEdge(store, setup.folder, i, "vantaa-a",
-                                  "uusimaa"));
-    kit::StartEdge(edges.back(), setup.edge);
+  for (const Zone& zone : kZones) {
+    for (int i = 0; i < zone.upstreams; ++i) {
+      const int number = static_cast<int>(upstreams.size());
+      upstreams.push_back(std::make_unique<kit::Upstream>(
+          store, "i-view" + std::to_string(number), "standview", zone.name, 4,
+          kit::Ip(100 + number)));
+    }
+    for (int i = 0; i < kEdgesPerZone; ++i) {
+      edges.push_back(kit::MakeEdge(store, setup.folder,
+                                    static_cast<int>(edges.size()) + 1,
+                                    zone.name, zone.region));
+      kit::StartEdge(edges.back(), setup.edge);
+    }
   }
   for (const kit::Edge& edge : edges) {
     kit::WaitReady(edge);
   }
-  kit::SleepMs(5000);  // ContactS is 4: all is calm.
+  kit::SleepMs(4500);  // ContactS is 4: all is calm.
 
-  std::vector<Client> clients(kConnections);
-  for (int c = 0; c < kConnections; ++c) {
-    Client& client = clients[c];
-    client.fd = kit::Connect(edges[0].ip, edges[0].front);
-    if (client.fd < 0) {
-      kit::CannotRun("no connection to the entry VM");
+  std::atomic<bool> is_over{false};
+  // The clients' zones have the same load, as on the site.
+  std::thread traffic([&] {
+    for (int number = 0; !is_over; ++number) {
+      std::thread(SendOne, std::cref(edges[number % edges.size()]), number)
+          .detach();
+      kit::SleepMs(kIntervalMs);
+    }
+  });
+  const double began = kit::Now();
+  kit::SleepMs(6000);
+  const double crashed = kit::Now();
+  if (kit::Trouble()) {
+    for (int i = 0; i < kCrashing; ++i) {
+      upstreams[i]->Crash();
     }
-    std::string bytes;
-    for (int r = 0; r < kDepth; ++r) {
-      client.ids.push_back("c" + std::to_string(c) + "r" + std::to_string(r));
-      bytes += kit::Request("GET", "/hucu512/" + client.ids.back(),
-                            "lopu12.example", client.ids.back(), kDeadlineMs,
-                            700 + 500 * r);
-      kit::Record("client sends %s", client.ids.back().c_str());
+    kit::SleepMs(4500);
+    for (int i = 0; i < kCrashing; ++i) {
+      upstreams.push_back(std::make_unique<kit::Upstream>(
+          store, "i-again" + std::to_string(i), "standview", kZones[0].name, 4,
+          kit::Ip(120 + i)));
     }
-    kit::SendAll(client.fd, bytes);
-  }
-  std::vector<std::thread> readers;
-  for (Client& client : clients) {
-    readers.emplace_back(Read, std::ref(client));
+  } else {
+    kit::SleepMs(4500);
   }
-  kit::SleepMs(300);
+  kit::SleepMs(3000);
+  const double killed = kit::Now();
   if (kit::Trouble()) {
-    kit::Record("SIGTERM to %s", edges[0].name.c_str());
-    kill(edges[0].pid, SIGTERM);
-  }
-  for (std::thread& reader : readers) {
-    reader.join();
-  }
-  kit::SleepMs(200);
-
-  int lost = 0;
-  int served = 0;
-  int other = 0;
-  for (const Client& client : clients) {
-    for (size_t r = 0; r < client.ids.size(); ++r) {
-      const auto runs = kit::RunsOf(client.ids[r]);
-      const std::string& outcome = client.outcomes[r];
-      served += outcome == "served" ? 1 : 0;
-      if (outcome == "served") {
-        continue;
-      }
-      if (outcome == "closed" && !runs.empty()) {
-        ++lost;
-        kit::Record("LOST %s: began at %.3f at %s, %s", client.ids[r].c_str(),
-                    runs[0].began, runs[0].upstream.c_str(),
-                    runs[0].is_cut ? "cut off" : "ran to its end");
-      } else {
-        ++other;
-      }
+    for (kit::Edge& edge : edges) {
+      kill(edge.pid, SIGKILL);
+      kit::WaitEnd(edge.pid, 2000);
+    }
+    kit::Record("all processes of the system are killed");
+    kit::SleepMs(1000);
+    for (kit::Edge& edge : edges) {
+      kit::StartEdge(edge, setup.edge);
+    }
+    for (const kit::Edge& edge : edges) {
+      kit::WaitReady(edge);
     }
   }
-  kit::Record("served %d, passed on and then closed without an answer %d, "
-              "other %d",
-              served, lost, other);
-  printf("served %d, lost %d, other %d\n", served, lost, other);
+  const double back = kit::Now();
+  kit::Record("all machines are back");
+  kit::SleepMs(static_cast<int>(kRecoveryS * 1000) + 10000);
+  is_over = true;
+  traffic.join();
+  kit::SleepMs(kDeadlineMs + 700);
+
+  int calm_count = 0;
+  int between_count = 0;
+  int after_count = 0;
+  const double calm = ServedShare(began, crashed, calm_count);
+  const double between = ServedShare(crashed + 1, killed, between_count);
+  const double after =
+      ServedShare(back + kRecoveryS, back + kRecoveryS + 10, after_count);
+  int before_count = 0;
+  const double before = ServedShare(began, killed, before_count);
+  kit::Record("served: %.3f of %d in calm, %.3f of %d between crash and final "
+              "fault, %.3f of %d before the final fault, %.3f of %d sent "
+              "later than RecoveryS after it",
+              calm, calm_count, between, between_count, before, before_count,
+              after, after_count);
+  printf("calm %.3f of %d, between %.3f of %d, before %.3f of %d, after %.3f "
+         "of %d\n",
+         calm, calm_count, between, between_count, before, before_count, after,
+         after_count);
   fflush(stdout);
-  if (served + lost == 0 || (!kit::Trouble() && other > 0)) {
+  if (before < 0.25 || after_count < 50) {
     kit::Exit(2);
   }
-  kit::Exit(lost > 0 ? 1 : 0);
+  kit::Exit(after < 0.25 ? 1 : 0);
 }
--- a/review/7/driver.cc
+++ b/review/7/driver.cc
@@ -1,64 +1,39 @@
-// Clients on kept connections pipeline a second idempotent request behind the
-// first. Its head has 120 short fields, 2.5 KB, a sixth of MaxHeaderBytes. The
-// first request is at a sound upstream and has to be answered.
+// Clients pipeline idempotent requests; the entry VM gets SIGTERM while the
+// upstreams work on them. Each request that an upstream runs has to be answered
+// completely, since its work ends well before the last sixth of GraceS.
 #include "../kit-2/kit.hpp"
 
 namespace {
 
 constexpr int kConnections = 8;
+constexpr int kDepth = 3;
+// The site's time budget and route timeout for this kind of request.
 constexpr int kDeadlineMs = 8000;
-constexpr int kManyFields = 120;
-constexpr int kFewFields = 40;
 
 struct Client {
   int fd = -1;
-  int number = 0;
-  std::string first;
-  std::string second;
-  std::string first_outcome = "silent";
-  std::string second_outcome = "silent";
+  std::vector<std::string> ids;
+  std::vector<std::string> outcomes;
 };
 
-std::string Outcome(const kit::Message& answer, const kit::Reader& reader) {
-  if (answer.complete) {
-    return "status " + std::to_string(answer.Status());
-  }
-  return reader.Closed() ? "closed" : "silent";
-}
-
-void Drive(Client& client) {
+void Read(Client& client) {
   kit::Reader reader(client.fd);
-  const std::string warm = "w" + std::to_string(client.number);
-  kit::SendAll(client.fd, kit::Request("GET", "/hucu512/" + warm,
-                                       "lopu12.example", warm, kDeadlineMs,
-                                       50));
-  if (!reader.Read(kDeadlineMs).complete) {
-    kit::CannotRun("no answer in calm");
-  }
-  client.first = "a" + std::to_string(client.number);
-  client.second = "b" + std::to_string(client.number);
-  kit::Record("client sends %s", client.first.c_str());
-  kit::SendAll(client.fd,
-               kit::Request("GET", "/hucu512/" + client.first, "lopu12.example",
-                            client.first, kDeadlineMs, 800));
-  kit::SleepMs(300);
-  std::string fields;
-  const int count = kit::Trouble() ? kManyFields : kFewFields;
-  for (int field = 0; field < count; ++field) {
-    fields += "x-note-" + std::to_string(field) + ": value\r\n";
+  for (const std::string& id : client.ids) {
+    const kit::Message answer = reader.Read(kDeadlineMs);
+    if (!answer.complete) {
+      client.outcomes.push_back(reader.Closed() ? "closed" : "silent");
+      kit::Record("client: %s gets no answer, connection %s", id.c_str(),
+                  reader.Closed() ? "closed" : "silent");
+      continue;
+    }
+    const bool is_own = answer.body == "answer to " + id + "\n";
+    client.outcomes.push_back(answer.Status() == 200 && is_own
+                                  ? "served"
+                                  : "status " +
+                                        std::to_string(answer.Status()));
+    kit::Record("client: %s gets %d, connection: %s", id.c_str(),
+                answer.Status(), answer.Get("connection").c_str());
   }
-  const std::string request =
-      kit::Request("GET", "/hucu512/" + client.second, "lopu12.example",
-                   client.second, kDeadlineMs, 100, fields);
-  kit::Record("client sends %s, %zu bytes with %d more fields",
-              client.second.c_str(), request.size(), count);
-  kit::SendAll(client.fd, request);
-  client.first_outcome = Outcome(reader.Read(kDeadlineMs), reader);
-  kit::Record("client: %s: %s", client.first.c_str(),
-              client.first_outcome.c_str());
-  client.second_outcome = Outcome(reader.Read(3000), reader);
-  kit::Record("client: %s: %s", client.second.c_str(),
-              client.second_outcome.c_str());
 }
 
 }  // namespace
@@ -72,8 +47,8 @@
 "Kind","TimeoutS","TargetLatencyS","Priority","MaxAttempts"],"Rows":[
 ["digest","lopu12.example","/hucu512/","digestor","idempotent",7.0,1.2,2,2]]},
 "Services":{"Columns":["Name","HealthPath","MaxConns","ColdStartS","ColdPerS"],
-"Rows":[["digestor","/health",390,3.0,4.0]]},"Limits":{"MaxHeaderBytes":16384,
-"MaxBodyBytes":67108864,"HeaderTimeoutS":3.0,"IdleTimeoutS":15.0}})";
+"Rows":[["digestor","/health",390,3.0,4.0]]},"Limits":{"MaxHeaderBytes":8192,
+"MaxBodyBytes":1048576,"HeaderTimeoutS":3.0,"IdleTimeoutS":15.0}})";
   if (store.Put("op/config", config) != 200) {
     kit::CannotRun("the store refuses the configuration");
   }
@@ -85,49 +60,74 @@
   }
   std::vector<kit::Edge> edges;
   for (int i = 1; i <= 2; ++i) {
-    edges.push_back(
-        kit::MakeEdge(store, setup.folder, i, "vantaa-a", "uusimaa"));
+    edges.push_back(kit::MakeEdge(store, setup.folder, i, "vantaa-a",
+                                  "uusimaa"));
     kit::StartEdge(edges.back(), setup.edge);
   }
   for (const kit::Edge& edge : edges) {
     kit::WaitReady(edge);
   }
   kit::SleepMs(5000);  // ContactS is 4: all is calm.
+
   std::vector<Client> clients(kConnections);
-  std::vector<std::thread> threads;
   for (int c = 0; c < kConnections; ++c) {
-    clients[c].number = c;
-    clients[c].fd = kit::Connect(edges[c % 2].ip, edges[c % 2].front);
-    if (clients[c].fd < 0) {
+    Client& client = clients[c];
+    client.fd = kit::Connect(edges[0].ip, edges[0].front);
+    if (client.fd < 0) {
       kit::CannotRun("no connection to the entry VM");
     }
-    threads.emplace_back(Drive, std::ref(clients[c]));
+    std::string bytes;
+    for (int r = 0; r < kDepth; ++r) {
+      client.ids.push_back("c" + std::to_string(c) + "r" + std::to_string(r));
+      bytes += kit::Request("GET", "/hucu512/" + client.ids.back(),
+                            "lopu12.example", client.ids.back(), kDeadlineMs,
+                            700 + 500 * r);
+      kit::Record("client sends %s", client.ids.back().c_str());
+    }
+    kit::SendAll(client.fd, bytes);
+  }
+  std::vector<std::thread> readers;
+  for (Client& client : clients) {
+    readers.emplace_back(Read, std::ref(client));
   }
-  for (std::thread& thread : threads) {
-    thread.join();
+  kit::SleepMs(300);
+  if (kit::Trouble()) {
+    kit::Record("SIGTERM to %s", edges[0].name.c_str());
+    kill(edges[0].pid, SIGTERM);
+  }
+  for (std::thread& reader : readers) {
+    reader.join();
   }
   kit::SleepMs(200);
+
   int lost = 0;
   int served = 0;
+  int other = 0;
   for (const Client& client : clients) {
-    const auto runs = kit::RunsOf(client.first);
-    const bool is_lost = client.first_outcome == "closed" && !runs.empty();
-    lost += is_lost ? 1 : 0;
-    served += client.first_outcome == "status 200" ? 1 : 0;
-    served += client.second_outcome == "status 200" ? 1 : 0;
-    if (is_lost) {
-      kit::Record("LOST %s: began at %.3f at %s, %s", client.first.c_str(),
-                  runs[0].began, runs[0].upstream.c_str(),
-                  runs[0].is_cut ? "cut off" : "ran to its end");
+    for (size_t r = 0; r < client.ids.size(); ++r) {
+      const auto runs = kit::RunsOf(client.ids[r]);
+      const std::string& outcome = client.outcomes[r];
+      served += outcome == "served" ? 1 : 0;
+      if (outcome == "served") {
+        continue;
+      }
+      if (outcome == "closed" && !runs.empty()) {
+        ++lost;
+        kit::Record("LOST %s: began at %.3f at %s, %s", client.ids[r].c_str(),
+                    runs[0].began, runs[0].upstream.c_str(),
+                    runs[0].is_cut ? "cut off" : "ran to its end");
+      } else {
+        ++other;
+      }
     }
   }
-  kit::Record("served %d of %d, first requests lost %d of %d", served,
-              2 * kConnections, lost, kConnections);
-  printf("served %d of %d, first requests lost %d of %d\n", served,
-         2 * kConnections, lost, kConnections);
+  kit::Record("served %d, passed on and then closed without an answer %d, "
+              "other %d",
+              served, lost, other);
+  printf("served %d, lost %d, other %d\n", served, lost, other);
   fflush(stdout);
-  if (!kit::Trouble() && served < 2 * kConnections) {
+  if (served + lost == 0 || (!kit::Trouble() && other > 0)) {
     kit::Exit(2);
   }
-  kit::Exit(lost > 3 ? 1 : 0);
+  kit::Exit(lost > 0 ? 1 : 0);
 }
