Do not take one crash of a failure domain for a request that crashes servers

Cause: three runs that ended under a request counted as three proofs, whatever had ended them. The hold cancelled the runs whose answers would have refuted it and allowed no further one, and its records outlive every process.

Now an answer refutes crashes up to 2 s after it, and late records of other VMs. A hold leaves runs older than the last crash to end. For this a record says which VM saw the crash and how long the server had had the request; records without it count as coincident. New log lines crash_refuted and trial_begun tell why.

Crashes within a second are not simply counted as one: several callers may send a request that does crash servers at the same moment.

Its three older test files changed only for the new type of a sighting; the simulation now passes it on between its VMs.

--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -521,6 +521,7 @@
                {"service", report.m_service},
                {"host", report.m_host},
                {"path", report.m_path},
+               {"under_way_ms", LogMs(report.m_sighting.m_under_way)},
                {"ends", static_cast<int64_t>(action.m_crashes)}});
   m_on_crash_update(report);
 }
@@ -535,6 +536,18 @@
   m_log.Write("request_released", {{"content", FormatDigest(action.m_digest)}});
 }
 
+void RequestProxy::Handle(const CrashRefuted& action) {
+  m_log.Write("crash_refuted",
+              {{"content", FormatDigest(action.m_record.m_digest)},
+               {"server", action.m_record.m_run}});
+}
+
+void RequestProxy::Handle(const TrialBegun& action) {
+  m_log.Write("trial_begun",
+              {{"request", m_open_requests.at(action.m_request).m_id},
+               {"content", FormatDigest(action.m_digest)}});
+}
+
 void RequestProxy::Handle(const CrashesDropped& action) {
   for (const CrashRecord& record : action.m_records) {
     m_log.Write("suspicion_ended", {{"content", FormatDigest(record.m_digest)},
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -109,6 +109,8 @@
   void Handle(const RequestSuspected& action);
   void Handle(const RequestHeld& action);
   void Handle(const HoldEnded& action);
+  void Handle(const CrashRefuted& action);
+  void Handle(const TrialBegun& action);
   void Handle(const CrashesDropped& action);
   void Handle(const SendQuotaRequest& action);
 
--- a/src/steer/crash_record_type.h
+++ b/src/steer/crash_record_type.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/request_digest_type.h"
+#include "core/time_type.h"
 
 namespace sorrelplank {
 
@@ -21,9 +22,20 @@
   auto operator<=>(const CrashRecord&) const = default;
 };
 
+/// What an entry VM saw of a crash.
+struct CrashSighting {
+  /// Time since the server lost the request.
+  Duration m_age{};
+  /// How long the server had had the request by then.
+  Duration m_under_way{};
+  /// The VM that saw it; empty for this one.
+  std::string m_observer;
+};
+
 /// A crash with a description of the request for operators.
 struct CrashReport {
   CrashRecord m_record;
+  CrashSighting m_sighting;
   std::string m_service;
   std::string m_host;
   std::string m_path;
--- a/src/steer/crash_register.cc
+++ b/src/steer/crash_register.cc
@@ -9,39 +9,80 @@
 
 namespace {
 
-/// How long crashes count for a request that is not held back, from the latest
-/// one. Callers give up long before; a request repeated less often than this
-/// crashes few servers.
+/// How long crashes count, from the latest one, unless they prove that the
+/// request causes them. Callers give up long before; a request repeated less
+/// often than this crashes few servers.
 constexpr Duration kSuspicionDuration = std::chrono::minutes(10);
-/// How long a request is held back, from its latest crash. Retried every few
-/// minutes, it would crash servers all day.
+/// How long a request is held back after that, from its latest crash. Retried
+/// every few minutes, it would crash servers all day.
 constexpr Duration kHoldBackDuration = std::chrono::hours(24);
 /// The VMs spread the removal of expired records over this time.
 constexpr Duration kRemovalSpread = std::chrono::minutes(10);
+/// Allowance for the clocks of different VMs when their sightings are compared.
+constexpr Duration kClockTolerance = milliseconds(250);
+/// A response refutes crashes up to this long after it. What a request does to
+/// servers may change, for example with the data that it reads.
+constexpr Duration kAnswerRefutes = seconds(2);
+/// Pause before a trial, from the latest crash; it grows with each trial that
+/// did not end the hold.
+constexpr Duration kTrialPause = seconds(2);
+constexpr uint32_t kTrialPauseGrowth = 4;
+/// Trials of a request that is held back, so that few servers crash even if
+/// each trial crashes one unnoticed.
+constexpr size_t kMaxTrials = 3;
 /// Maximum number of tracked requests, a few hundred bytes each.
 constexpr size_t kMaxSuspects = 4096;
 
 }  // namespace
 
 TimePoint CrashRegister::Suspect::LastCrash() const {
-  return std::max_element(m_crash_times.begin(), m_crash_times.end(),
+  return std::max_element(m_crashes.begin(), m_crashes.end(),
                           [](const auto& one, const auto& other) {
-                            return one.second < other.second;
+                            return one.second.m_lost < other.second.m_lost;
                           })
-      ->second;
+      ->second.m_lost;
+}
+
+void CrashRegister::Suspect::CountSuccessive() {
+  std::vector<const Crash*> crashes;
+  for (const auto& [run, crash] : m_crashes) {
+    crashes.push_back(&crash);
+  }
+  std::sort(crashes.begin(), crashes.end(),
+            [](const Crash* one, const Crash* other) {
+              return one->m_lost < other->m_lost;
+            });
+  const Crash* counted = nullptr;
+  m_successive = 0;
+  for (const Crash* crash : crashes) {
+    const bool is_same_clock =
+        counted == nullptr || crash->m_observer == counted->m_observer;
+    const Duration tolerance =
+        is_same_clock ? Duration::zero() : kClockTolerance;
+    if (counted == nullptr || crash->m_sent >= counted->m_lost + tolerance) {
+      counted = crash;
+      ++m_successive;
+    }
+  }
 }
 
 TimePoint CrashRegister::Suspect::ExpiresAt() const {
-  const bool is_held = m_crash_times.size() >= kCrashesToHoldBack;
-  return LastCrash() + (is_held ? kHoldBackDuration : kSuspicionDuration);
+  return LastCrash() + (IsProven() ? kHoldBackDuration : kSuspicionDuration);
 }
 
 CrashRegister::Change CrashRegister::Add(const CrashRecord& record,
-                                         Duration age,
+                                         const CrashSighting& sighting,
                                          TimePoint now) {
+  const TimePoint lost = now - sighting.m_age;
+  const auto answer = m_answers.Last(record.m_digest);
+  if (answer && lost <= *answer + kAnswerRefutes) {
+    return Change::kRefuted;
+  }
   const size_t before = CrashCount(record.m_digest, now);
   Suspect& suspect = m_suspects[record.m_digest];
-  suspect.m_crash_times.try_emplace(record.m_run, now - age);
+  suspect.m_crashes.try_emplace(record.m_run, Crash{lost - sighting.m_under_way,
+                                                    lost, sighting.m_observer});
+  suspect.CountSuccessive();
   const size_t after = CrashCount(record.m_digest, now);
   if (m_suspects.size() > kMaxSuspects) {
     DropOldest();
@@ -59,19 +100,26 @@
   if (it == m_suspects.end()) {
     return;
   }
-  it->second.m_crash_times.erase(record.m_run);
-  if (it->second.m_crash_times.empty()) {
+  it->second.m_crashes.erase(record.m_run);
+  it->second.CountSuccessive();
+  if (it->second.m_crashes.empty()) {
     m_suspects.erase(it);
   }
 }
 
+std::vector<CrashRecord> CrashRegister::NoteAnswer(const RequestDigest& digest,
+                                                   TimePoint now) {
+  m_answers.Note(digest, now);
+  return Clear(digest);
+}
+
 std::vector<CrashRecord> CrashRegister::Clear(const RequestDigest& digest) {
   std::vector<CrashRecord> records;
   const auto it = m_suspects.find(digest);
   if (it == m_suspects.end()) {
     return records;
   }
-  for (const auto& [run, time] : it->second.m_crash_times) {
+  for (const auto& [run, crash] : it->second.m_crashes) {
     records.push_back({digest, run});
   }
   m_suspects.erase(it);
@@ -81,11 +129,11 @@
 size_t CrashRegister::CrashCount(const RequestDigest& digest,
                                  TimePoint now) const {
   const auto it = m_suspects.find(digest);
-  if (it == m_suspects.end() || it->second.m_crash_times.empty() ||
+  if (it == m_suspects.end() || it->second.m_crashes.empty() ||
       now >= it->second.ExpiresAt()) {
     return 0;
   }
-  return it->second.m_crash_times.size();
+  return it->second.m_crashes.size();
 }
 
 bool CrashRegister::IsHeldBack(const RequestDigest& digest,
@@ -95,8 +143,50 @@
 
 Duration CrashRegister::HeldBackTimeLeft(const RequestDigest& digest,
                                          TimePoint now) const {
-  return IsHeldBack(digest, now) ? m_suspects.at(digest).ExpiresAt() - now
-                                 : Duration::zero();
+  if (!IsHeldBack(digest, now)) {
+    return Duration::zero();
+  }
+  const Suspect& suspect = m_suspects.at(digest);
+  if (suspect.IsProven() || suspect.m_trials >= kMaxTrials) {
+    return suspect.ExpiresAt() - now;
+  }
+  return std::max<Duration>(suspect.NextTrial() - now, kTrialPause);
+}
+
+TimePoint CrashRegister::LastCrash(const RequestDigest& digest) const {
+  return m_suspects.at(digest).LastCrash();
+}
+
+TimePoint CrashRegister::Suspect::NextTrial() const {
+  Duration pause = kTrialPause;
+  for (size_t trial = 0; trial < m_trials; ++trial) {
+    pause *= kTrialPauseGrowth;
+  }
+  return std::max(LastCrash() + kTrialPause,
+                  m_trials == 0 ? TimePoint::min() : m_last_trial + pause);
+}
+
+bool CrashRegister::IsTrialDue(const RequestDigest& digest,
+                               TimePoint now) const {
+  if (!IsHeldBack(digest, now)) {
+    return false;
+  }
+  const Suspect& suspect = m_suspects.at(digest);
+  return !suspect.IsProven() && suspect.m_trials < kMaxTrials &&
+         now >= suspect.NextTrial();
+}
+
+void CrashRegister::NoteTrial(const RequestDigest& digest, TimePoint now) {
+  Suspect& suspect = m_suspects.at(digest);
+  ++suspect.m_trials;
+  suspect.m_last_trial = now;
+}
+
+void CrashRegister::UndoTrial(const RequestDigest& digest) {
+  const auto it = m_suspects.find(digest);
+  if (it != m_suspects.end() && it->second.m_trials > 0) {
+    --it->second.m_trials;
+  }
 }
 
 std::vector<CrashRecord> CrashRegister::TakeExpired(double spread,
--- a/src/steer/crash_register.h
+++ b/src/steer/crash_register.h
@@ -11,6 +11,7 @@
 
 #include "core/time_type.h"
 #include "steer/crash_record_type.h"
+#include "steer/recent_answers.h"
 
 namespace sorrelplank {
 
@@ -22,6 +23,12 @@
 /// evidence. A request is held back after `kCrashesToHoldBack` crashes without
 /// a response in between.
 ///
+/// Servers that end together, for example with their failure domain, end the
+/// same request several times at once. So a response to it shortly before a
+/// crash, or later, refutes the crash. If a request is held back and fewer than
+/// `kCrashesToHoldBack` of its crashes came one after the other, a single run
+/// may show that it crashes no server.
+///
 /// Takes records of all entry VMs in any order; each run counts once.
 class CrashRegister {
  public:
@@ -31,23 +38,35 @@
   /// Effect of a new record.
   enum class Change {
     kNone,       ///< The record was known.
+    kRefuted,    ///< A server has answered the request since, or just before.
     kSuspected,  ///< One more crash counts for the request.
     kHeld,       ///< The request is held back from now on.
   };
 
-  /// Adds a record of the given age.
-  Change Add(const CrashRecord& record, Duration age, TimePoint now);
+  Change Add(const CrashRecord& record,
+             const CrashSighting& sighting,
+             TimePoint now);
   /// Removes one record.
   void Remove(const CrashRecord& record);
-  /// Removes and returns all records of a request. Called when a server answers
-  /// it, which shows that it does not crash servers.
-  std::vector<CrashRecord> Clear(const RequestDigest& digest);
+  /// A server has answered the request, which shows that it does not crash
+  /// servers. Removes and returns its records.
+  std::vector<CrashRecord> NoteAnswer(const RequestDigest& digest,
+                                      TimePoint now);
 
   /// Crashes during the request that have not expired.
   size_t CrashCount(const RequestDigest& digest, TimePoint now) const;
   bool IsHeldBack(const RequestDigest& digest, TimePoint now) const;
-  /// Time until the request is no longer held back; zero if it is not.
+  /// Time until the request may be sent again; zero if it is not held back.
   Duration HeldBackTimeLeft(const RequestDigest& digest, TimePoint now) const;
+  /// The latest crash during a request that has records.
+  TimePoint LastCrash(const RequestDigest& digest) const;
+
+  /// Whether a request that is held back may be run once as a trial.
+  bool IsTrialDue(const RequestDigest& digest, TimePoint now) const;
+  /// A trial begins.
+  void NoteTrial(const RequestDigest& digest, TimePoint now);
+  /// The last trial was not run by any server.
+  void UndoTrial(const RequestDigest& digest);
 
   /// Removes and returns expired records, so that the caller removes them from
   /// the store. `spread`, 0 to 1, delays this per VM; all VMs would otherwise
@@ -58,18 +77,35 @@
   size_t HeldBackCount(TimePoint now) const;
 
  private:
+  /// Times at which a server got and lost the request.
+  struct Crash {
+    TimePoint m_sent;
+    TimePoint m_lost;
+    std::string m_observer;
+  };
   struct Suspect {
-    /// Time of the crash, by run.
-    std::map<std::string, TimePoint> m_crash_times;
-
+    /// By run.
+    std::map<std::string, Crash> m_crashes;
+    /// Crashes one after the other: the request was sent to each of these
+    /// servers after the one before had crashed.
+    size_t m_successive = 0;
+    size_t m_trials = 0;
+    TimePoint m_last_trial = TimePoint::min();
+
+    void CountSuccessive();
+    /// Whether the crashes can't have a single other cause.
+    bool IsProven() const { return m_successive >= kCrashesToHoldBack; }
     TimePoint LastCrash() const;
+    TimePoint NextTrial() const;
     /// When the records expire.
     TimePoint ExpiresAt() const;
   };
 
+  std::vector<CrashRecord> Clear(const RequestDigest& digest);
   void DropOldest();
 
   std::unordered_map<RequestDigest, Suspect> m_suspects;
+  RecentAnswers m_answers;
 };
 
 }  // namespace sorrelplank
--- a/src/steer/steer_action_type.h
+++ b/src/steer/steer_action_type.h
@@ -168,12 +168,24 @@
   size_t m_crashes = 0;
 };
 
-/// For logs only: a request is no longer held back, because of a report from
-/// another VM or by an operator.
+/// For logs only: a request is no longer held back, because a server answered
+/// it, or because an operator released it.
 struct HoldEnded {
   RequestDigest m_digest;
 };
 
+/// For logs only: this VM saw a crash that does not count, because a server has
+/// answered the request.
+struct CrashRefuted {
+  CrashRecord m_record;
+};
+
+/// For logs only: a request that is held back is sent once.
+struct TrialBegun {
+  RequestId m_request;
+  RequestDigest m_digest;
+};
+
 /// These crash records no longer count; to be reported to the other VMs.
 struct CrashesDropped {
   std::vector<CrashRecord> m_records;
@@ -200,6 +212,8 @@
                                  RequestSuspected,
                                  RequestHeld,
                                  HoldEnded,
+                                 CrashRefuted,
+                                 TrialBegun,
                                  CrashesDropped,
                                  SendQuotaRequest>;
 
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -107,9 +107,10 @@
   void ServerChecked(const std::string& instance,
                      ServerReach reach,
                      TimePoint now);
-  /// Applies another VM's report that a server crashed while it ran a request;
-  /// `age` is the time since the crash.
-  void ApplyPeerCrash(const CrashRecord& record, Duration age, TimePoint now);
+  /// Applies another VM's report that a server crashed while it ran a request.
+  void ApplyPeerCrash(const CrashRecord& record,
+                      const CrashSighting& sighting,
+                      TimePoint now);
   /// Drops a crash record because another VM saw the request answered, or an
   /// operator released it.
   void DropCrash(const CrashRecord& record, TimePoint now);
@@ -157,6 +158,7 @@
   struct PendingCrashCheck {
     RequestId m_request;
     CrashReport m_report;
+    TimePoint m_lost;
   };
 
   SteeredService& Service(const std::string& name);
@@ -350,16 +352,21 @@
   /// Whether a server crashed while it ran the request.
   bool IsSuspect(const SteeredRequest& request, TimePoint now) const;
   static CrashReport ReportOf(const SteeredRequest& request,
-                              const ServerState& server);
+                              const ServerState& server,
+                              Duration under_way);
   /// Whether the crashes counted for the request forbid a retry.
   bool IsRetryForbidden(const SteeredRequest& request, TimePoint now) const;
   /// Handles the loss of an attempt; the server may have crashed.
   void CountLost(SteeredRequest& request,
                  const ServerState& server,
+                 Duration under_way,
                  bool server_ended,
                  TimePoint now);
   /// Checks whether the server that lost the request has crashed.
-  void CheckServer(const SteeredRequest& request, const ServerState& server);
+  void CheckServer(const SteeredRequest& request,
+                   CrashReport report,
+                   const ServerEntry& entry,
+                   TimePoint now);
   /// Ends the checks of servers that refused connections, once it is known
   /// whether this VM reaches any server.
   void SettleRefusedChecks(TimePoint now);
@@ -367,6 +374,11 @@
   /// Ends all requests in progress with this digest.
   void HoldBack(const RequestDigest& digest, TimePoint now);
   void ClearSuspicion(const RequestDigest& digest, TimePoint now);
+  /// Whether the request, which is held back, is sent to find out whether it
+  /// crashes a server. Only one is, over all VMs.
+  bool TryBeginTrial(const SteeredRequest& request, TimePoint now);
+  /// Whether this VM is the one that runs trials of the request.
+  bool RunsTrialsOf(const RequestDigest& digest) const;
   void DropExpiredCrashes(TimePoint now);
 
   SteeringSettings m_settings;
--- a/src/steer/steering_crashes.cc
+++ b/src/steer/steering_crashes.cc
@@ -1,6 +1,8 @@
 /// @file steering_crashes.cc Detects, reports and holds back requests that
 /// crash backend servers.
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -37,11 +39,13 @@
 
 void Steering::CountLost(SteeredRequest& request,
                          const ServerState& server,
+                         Duration under_way,
                          bool server_ended,
                          TimePoint now) {
   ++request.m_lost_sends;
+  CrashReport report = ReportOf(request, server, under_way);
   if (server_ended) {
-    NoteOwnCrash(ReportOf(request, server), now);
+    NoteOwnCrash(report, now);
     return;
   }
   if (!MayHaveCrashed(server)) {
@@ -55,22 +59,25 @@
   request.m_awaits_check =
       request.m_route->m_idempotent && request.m_live_attempts.empty() &&
       std::max<size_t>(crashes, request.m_lost_sends) >= kCrashesToDelayRetry;
-  CheckServer(request, server);
+  CheckServer(request, std::move(report), server.Entry(), now);
 }
 
 CrashReport Steering::ReportOf(const SteeredRequest& request,
-                               const ServerState& server) {
+                               const ServerState& server,
+                               Duration under_way) {
   return {{request.m_facts.m_digest, RunName(server.Entry())},
+          {.m_age = {}, .m_under_way = under_way, .m_observer = ""},
           request.m_service,
           request.m_facts.m_host,
           request.m_facts.m_path};
 }
 
 void Steering::CheckServer(const SteeredRequest& request,
-                           const ServerState& server) {
-  const ServerEntry& entry = server.Entry();
+                           CrashReport report,
+                           const ServerEntry& entry,
+                           TimePoint now) {
   auto& pending = m_pending_crash_checks[entry.m_instance];
-  pending.push_back({request.m_facts.m_request, ReportOf(request, server)});
+  pending.push_back({request.m_facts.m_request, std::move(report), now});
   if (pending.size() == 1) {
     m_sink(CheckServerReachable{entry.m_instance, entry.m_address});
   }
@@ -96,7 +103,9 @@
   m_pending_crash_checks.erase(it);
   for (const PendingCrashCheck& check : checks) {
     if (reach == ServerReach::kRefusesConnections) {
-      NoteOwnCrash(check.m_report, now);
+      CrashReport report = check.m_report;
+      report.m_sighting.m_age = now - check.m_lost;
+      NoteOwnCrash(report, now);
     }
     const auto request = m_requests.find(check.m_request);
     if (request != m_requests.end() && request->second.m_awaits_check) {
@@ -118,7 +127,11 @@
 }
 
 void Steering::NoteOwnCrash(const CrashReport& report, TimePoint now) {
-  const auto change = m_crashes.Add(report.m_record, Duration::zero(), now);
+  const auto change = m_crashes.Add(report.m_record, report.m_sighting, now);
+  if (change == CrashRegister::Change::kRefuted) {
+    m_sink(CrashRefuted{report.m_record});
+    return;
+  }
   if (change == CrashRegister::Change::kNone) {
     return;
   }
@@ -130,10 +143,18 @@
 }
 
 void Steering::ApplyPeerCrash(const CrashRecord& record,
-                              Duration age,
+                              const CrashSighting& sighting,
                               TimePoint now) {
-  if (m_crashes.Add(record, age, now) == CrashRegister::Change::kHeld) {
-    HoldBack(record.m_digest, now);
+  switch (m_crashes.Add(record, sighting, now)) {
+    case CrashRegister::Change::kNone:
+    case CrashRegister::Change::kSuspected:
+      return;
+    case CrashRegister::Change::kRefuted:
+      m_sink(CrashesDropped{{record}, "answered"});
+      return;
+    case CrashRegister::Change::kHeld:
+      HoldBack(record.m_digest, now);
+      return;
   }
 }
 
@@ -147,10 +168,17 @@
 
 void Steering::HoldBack(const RequestDigest& digest, TimePoint now) {
   m_sink(RequestHeld{digest, m_crashes.CrashCount(digest, now)});
+  const TimePoint last_crash = m_crashes.LastCrash(digest);
   std::vector<RequestId> same;
   for (const auto& [id, request] : m_requests) {
     const bool is_begun = request.m_route != nullptr;
-    if (is_begun && request.m_facts.m_digest == digest) {
+    // If a run has outlived the crashes, its response refutes them.
+    const bool outlived_crashes = std::any_of(
+        request.m_live_attempts.begin(), request.m_live_attempts.end(),
+        [last_crash](const LiveAttempt& live) {
+          return live.m_sent < last_crash;
+        });
+    if (is_begun && request.m_facts.m_digest == digest && !outlived_crashes) {
       same.push_back(id);
     }
   }
@@ -166,10 +194,47 @@
 }
 
 void Steering::ClearSuspicion(const RequestDigest& digest, TimePoint now) {
-  if (m_crashes.CrashCount(digest, now) == 0) {
+  const bool was_held = m_crashes.IsHeldBack(digest, now);
+  std::vector<CrashRecord> records = m_crashes.NoteAnswer(digest, now);
+  if (records.empty()) {
     return;
   }
-  m_sink(CrashesDropped{m_crashes.Clear(digest), "answered"});
+  m_sink(CrashesDropped{std::move(records), "answered"});
+  if (was_held) {
+    m_sink(HoldEnded{digest});
+  }
+}
+
+bool Steering::TryBeginTrial(const SteeredRequest& request, TimePoint now) {
+  const RequestDigest& digest = request.m_facts.m_digest;
+  if (!m_crashes.IsTrialDue(digest, now) || !RunsTrialsOf(digest)) {
+    return false;
+  }
+  const bool is_other_open =
+      std::any_of(m_requests.begin(), m_requests.end(), [&](const auto& entry) {
+        return &entry.second != &request &&
+               entry.second.m_facts.m_digest == digest;
+      });
+  if (is_other_open) {
+    return false;
+  }
+  m_crashes.NoteTrial(digest, now);
+  m_sink(TrialBegun{request.m_facts.m_request, digest});
+  return true;
+}
+
+bool Steering::RunsTrialsOf(const RequestDigest& digest) const {
+  const auto weight = [&digest](const FleetMember& member) {
+    return XXH3_64bits_withSeed(member.m_vm.data(), member.m_vm.size(),
+                                digest.m_high ^ digest.m_low);
+  };
+  const std::vector<FleetMember>& fleet = m_picker.Fleet();
+  const auto first = std::max_element(
+      fleet.begin(), fleet.end(),
+      [&weight](const FleetMember& one, const FleetMember& other) {
+        return weight(one) < weight(other);
+      });
+  return first == fleet.end() || first->m_vm == m_settings.m_vm;
 }
 
 void Steering::DropExpiredCrashes(TimePoint now) {
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -227,7 +227,8 @@
   if (request.m_may_have_run && !request.m_route->m_idempotent) {
     return false;
   }
-  if (request.m_lost_sends > 0 && IsRetryForbidden(request, now)) {
+  if (m_crashes.IsHeldBack(request.m_facts.m_digest, now) ||
+      (request.m_lost_sends > 0 && IsRetryForbidden(request, now))) {
     return false;
   }
   return request.m_deadline - now >= MinRetryTime(request);
@@ -340,6 +341,7 @@
   }
   const std::shared_ptr<ServerState> server = live->m_server;
   const bool is_hedge = live->m_is_hedge;
+  const Duration under_way = now - live->m_sent;
   CountEnd(*server, report, now);
   if (report.m_end == AttemptEnd::kWrongInstance) {
     server->MarkGone();
@@ -365,9 +367,13 @@
     m_sink(ForwardServerAnswer{id, attempt, is_hedge && is_first});
     RemoveRequest(id);
   } else {
-    request.m_may_have_run |= !ProvesNotRun(report.m_end);
+    if (ProvesNotRun(report.m_end)) {
+      m_crashes.UndoTrial(request.m_facts.m_digest);
+    } else {
+      request.m_may_have_run = true;
+    }
     if (report.m_end == AttemptEnd::kLost) {
-      CountLost(request, *server, report.m_server_ended, now);
+      CountLost(request, *server, under_way, report.m_server_ended, now);
     }
     // This outcome may have caused the request to be held back; it has been
     // refused then.
--- a/tests/crash_record_writer_test.cc
+++ b/tests/crash_record_writer_test.cc
@@ -54,7 +54,7 @@
   }
 
   void RecordCrash(const std::string& run) {
-    m_writer->Record(CrashReport{{kDigest, run}, "s", "h", "/read/x"});
+    m_writer->Record(CrashReport{{kDigest, run}, {}, "s", "h", "/read/x"});
   }
   void RunUntilCalls(size_t count) {
     while (m_calls.size() < count) {
@@ -113,10 +113,17 @@
   const CrashRecord record{kDigest, "i-1@1700000000000"};
   cr_assert(DecodeCrashKey(CrashKey(record)) == record);
   const std::string value =
-      EncodeStoredCrash({{record, "s", "h", std::string(500, 'x') + "\xff"},
+      EncodeStoredCrash({{record,
+                          {.m_under_way = milliseconds(60)},
+                          "s",
+                          "h",
+                          std::string(500, 'x') + "\xff"},
                          "vm",
                          milliseconds(1700)});
-  cr_assert_eq(DecodeCrashTime(value), milliseconds(1700));
+  const CrashSighting sighting = DecodeCrashSighting(value, milliseconds(2000));
+  cr_assert_eq(sighting.m_age, milliseconds(300));
+  cr_assert_eq(sighting.m_under_way, milliseconds(60));
+  cr_assert_eq(sighting.m_observer, "vm");
   cr_assert_lt(value.size(), 400);
 }
 
@@ -124,8 +131,10 @@
   cr_assert_throw(DecodeCrashKey("crashes/12/a"), DecodeError);
   cr_assert_throw(DecodeCrashKey("crashes/" + std::string(32, '0') + "/"),
                   DecodeError);
-  cr_assert_throw(DecodeCrashTime("{"), DecodeError);
-  cr_assert_throw(DecodeCrashTime(R"({"noted_unix_ms":"x"})"), DecodeError);
+  constexpr milliseconds kNow(1000);
+  cr_assert_throw(DecodeCrashSighting("{", kNow), DecodeError);
+  cr_assert_throw(DecodeCrashSighting(R"({"noted_unix_ms":"x"})", kNow),
+                  DecodeError);
 }
 
 }  // namespace
--- a/tests/crash_register_test.cc
+++ b/tests/crash_register_test.cc
@@ -20,7 +20,7 @@
   TimePoint m_now = kStart;
 
   Change Add(const RequestDigest& digest, const std::string& run) {
-    return m_register.Add({digest, run}, Duration::zero(), m_now);
+    return m_register.Add({digest, run}, {}, m_now);
   }
   /// Adds the three crashes that hold a request back.
   void Hold(const RequestDigest& digest) {
@@ -54,9 +54,9 @@
 Test(CrashRegister, Answered_Records_AreReturnedAndRemoved) {
   RegisterFixture fixture;
   fixture.Hold(kOne);
-  cr_assert_eq(fixture.m_register.Clear(kOne).size(), 3);
+  cr_assert_eq(fixture.m_register.NoteAnswer(kOne, fixture.m_now).size(), 3);
   cr_assert_eq(fixture.m_register.CrashCount(kOne, fixture.m_now), 0);
-  cr_assert(fixture.m_register.Clear(kOne).empty());
+  cr_assert(fixture.m_register.NoteAnswer(kOne, fixture.m_now).empty());
 }
 
 Test(CrashRegister, OneRecordRemoved_Request_IsNoLongerHeldBack) {
@@ -99,12 +99,57 @@
   cr_assert_eq(fixture.m_register.TakeExpired(0.1, fixture.m_now).size(), 1);
 }
 
+// A server answers the request a moment before others crash with it, as with
+// their failure domain. Later crashes count.
+Test(CrashRegister, AnsweredJustBefore_Crash_IsRefuted) {
+  RegisterFixture fixture;
+  fixture.m_register.NoteAnswer(kOne, fixture.m_now);
+  fixture.m_now += seconds(1);
+  cr_assert_eq(fixture.Add(kOne, "a"), Change::kRefuted);
+  cr_assert_eq(fixture.Add(kOther, "a"), Change::kSuspected);
+  fixture.m_now += seconds(2);
+  cr_assert_eq(fixture.Add(kOne, "b"), Change::kSuspected);
+}
+
+// Another VM's record of a crash arrives after the request was answered.
+Test(CrashRegister, AnsweredSince_LateRecord_IsRefuted) {
+  RegisterFixture fixture;
+  fixture.m_register.NoteAnswer(kOne, fixture.m_now);
+  fixture.m_now += seconds(5);
+  cr_assert_eq(
+      fixture.m_register.Add({kOne, "a"}, {.m_age = seconds(6)}, fixture.m_now),
+      Change::kRefuted);
+}
+
+// Three runs crash together and hold the request back, but not for a day.
+Test(CrashRegister, CoincidentCrashes_Hold_AllowsATrial) {
+  RegisterFixture fixture;
+  const auto add = [&](const std::string& run, const std::string& observer) {
+    fixture.m_register.Add({kOne, run}, {{}, milliseconds(400), observer},
+                           fixture.m_now);
+  };
+  add("a", "vm-1");
+  add("b", "vm-2");
+  fixture.m_now += milliseconds(100);
+  add("c", "vm-1");
+  cr_assert(fixture.m_register.IsHeldBack(kOne, fixture.m_now));
+  cr_assert_not(fixture.m_register.IsTrialDue(kOne, fixture.m_now));
+  fixture.m_now += seconds(2);
+  cr_assert(fixture.m_register.IsTrialDue(kOne, fixture.m_now));
+  fixture.m_register.NoteTrial(kOne, fixture.m_now);
+  cr_assert_not(fixture.m_register.IsTrialDue(kOne, fixture.m_now));
+  fixture.m_now += std::chrono::minutes(10);
+  cr_assert_not(fixture.m_register.IsHeldBack(kOne, fixture.m_now));
+}
+
 // A VM starts and reads old records.
 Test(CrashRegister, OldRecords_ReadAtStart_CountByTheirAge) {
   RegisterFixture fixture;
   for (const char* run : {"a", "b", "c"}) {
-    fixture.m_register.Add({kOne, run}, std::chrono::hours(25), fixture.m_now);
-    fixture.m_register.Add({kOther, run}, std::chrono::hours(5), fixture.m_now);
+    fixture.m_register.Add({kOne, run}, {.m_age = std::chrono::hours(25)},
+                           fixture.m_now);
+    fixture.m_register.Add({kOther, run}, {.m_age = std::chrono::hours(5)},
+                           fixture.m_now);
   }
   cr_assert_not(fixture.m_register.IsHeldBack(kOne, fixture.m_now));
   cr_assert(fixture.m_register.IsHeldBack(kOther, fixture.m_now));
--- a/tests/crash_simulation.cc
+++ b/tests/crash_simulation.cc
@@ -110,8 +110,10 @@
       steering.PutServer(EntryOf(*server, Duration{}), m_queue.Now());
     }
   }
-  for (const CrashRecord& record : m_store) {
-    steering.ApplyPeerCrash(record, seconds(1), m_queue.Now());
+  for (const auto& [record, stored] : m_store) {
+    CrashSighting sighting = stored.m_sighting;
+    sighting.m_age = m_queue.Now() - stored.m_lost;
+    steering.ApplyPeerCrash(record, sighting, m_queue.Now());
   }
 }
 
@@ -155,6 +157,23 @@
       {id, "h", "/read/x", object, kClientTimeout, digest}, m_queue.Now());
 }
 
+size_t CrashSimulation::SendRepeatedly(const RequestDigest& digest,
+                                       Duration interval,
+                                       Duration time) {
+  const auto answered = std::make_shared<size_t>(0);
+  const TimePoint end = Now() + time;
+  while (Now() < end) {
+    const size_t vm = RandomVm();
+    m_vms[vm]->m_callers[RequestId(m_next)] =
+        [answered](CrashSimulationOutcome outcome) {
+          *answered += outcome == CrashSimulationOutcome::kAnswered ? 1 : 0;
+        };
+    SendRequest(vm, digest, m_random());
+    RunFor(interval);
+  }
+  return *answered;
+}
+
 void CrashSimulation::StartNormalRequests(int per_second) {
   m_queue.After(Duration{seconds(1)} / per_second,
                 [this, per_second] { SendNormalRequest(per_second); });
@@ -205,12 +224,12 @@
     Probe(vm, *probe);
   } else if (const auto* suspected = std::get_if<RequestSuspected>(&action)) {
     ++m_suspected;
-    PublishCrash(vm, suspected->m_report.m_record, true);
+    PublishCrash(vm, suspected->m_report);
   } else if (std::holds_alternative<RequestHeld>(action)) {
     ++m_held_back;
   } else if (const auto* dropped = std::get_if<CrashesDropped>(&action)) {
     for (const CrashRecord& record : dropped->m_records) {
-      PublishCrash(vm, record, false);
+      DropCrash(vm, record);
     }
   }
 }
@@ -237,26 +256,33 @@
   });
 }
 
-void CrashSimulation::PublishCrash(size_t vm,
-                                   const CrashRecord& record,
-                                   bool counts) {
+void CrashSimulation::PublishCrash(size_t vm, const CrashReport& report) {
   if (m_vms[vm]->m_is_cut_off) {
     return;
   }
-  m_queue.After(m_propagation_delay, [this, record, counts] {
-    if (counts) {
-      m_store.insert(record);
-    } else {
-      m_store.erase(record);
-    }
+  StoredCrash stored{m_queue.Now() - report.m_sighting.m_age,
+                     report.m_sighting};
+  stored.m_sighting.m_observer = m_fleet[vm].m_vm;
+  m_queue.After(m_propagation_delay, [this, record = report.m_record, stored] {
+    m_store[record] = stored;
+    CrashSighting sighting = stored.m_sighting;
+    sighting.m_age = m_queue.Now() - stored.m_lost;
     for (const auto& other : m_vms) {
-      if (other->m_is_cut_off) {
-        continue;
+      if (!other->m_is_cut_off) {
+        other->m_steering->ApplyPeerCrash(record, sighting, m_queue.Now());
       }
-      if (counts) {
-        other->m_steering->ApplyPeerCrash(record, m_propagation_delay,
-                                          m_queue.Now());
-      } else {
+    }
+  });
+}
+
+void CrashSimulation::DropCrash(size_t vm, const CrashRecord& record) {
+  if (m_vms[vm]->m_is_cut_off) {
+    return;
+  }
+  m_queue.After(m_propagation_delay, [this, record] {
+    m_store.erase(record);
+    for (const auto& other : m_vms) {
+      if (!other->m_is_cut_off) {
         other->m_steering->DropCrash(record, m_queue.Now());
       }
     }
@@ -386,6 +412,14 @@
   });
 }
 
+void CrashSimulation::CrashDomain(const std::string& domain) {
+  for (const auto& server : m_servers) {
+    if (server->m_domain == domain && !server->m_instance.empty()) {
+      Crash(server->m_number);
+    }
+  }
+}
+
 void CrashSimulation::StartServer(Server& server) {
   if (!server.m_instance.empty()) {
     return;
--- a/tests/crash_simulation.h
+++ b/tests/crash_simulation.h
@@ -48,6 +48,11 @@
   /// Sends a request of a caller to the given VM. Equal digests are the same
   /// request.
   void SendRequest(size_t vm, const RequestDigest& digest, uint64_t object);
+  /// The same from random VMs to servers all over the service, every `interval`
+  /// for the given time. Returns how many of the requests were answered.
+  size_t SendRepeatedly(const RequestDigest& digest,
+                        Duration interval,
+                        Duration time);
   /// From now on a request with this digest crashes each server that runs it.
   void MakeCrashing(const RequestDigest& digest);
   /// Starts callers that send this many other requests per second, and retry
@@ -56,6 +61,8 @@
 
   /// Crashes a server, whatever it runs; it restarts some seconds later.
   void Crash(size_t server);
+  /// Crashes all servers of a failure domain at the same moment.
+  void CrashDomain(const std::string& domain);
   /// Closes all connections of a server without responses; it keeps running.
   void ResetConnections(size_t server);
 
@@ -91,7 +98,8 @@
   void Send(size_t vm, const SendToServer& action);
   void Check(size_t vm, const CheckServerReachable& action);
   void Probe(size_t vm, const ProbeServerReach& action);
-  void PublishCrash(size_t vm, const CrashRecord& record, bool counts);
+  void PublishCrash(size_t vm, const CrashReport& report);
+  void DropCrash(size_t vm, const CrashRecord& record);
   void Cancel(size_t vm, const CancelSend& action);
   void Finish(size_t vm, RequestId request, CrashSimulationOutcome end);
   void Deliver(size_t vm, const SendToServer& action);
@@ -114,8 +122,12 @@
   std::vector<std::unique_ptr<Vm>> m_vms;
   std::vector<std::unique_ptr<Server>> m_servers;
   std::map<RequestDigest, History> m_crashing;
-  /// Crash records in the store.
-  std::set<CrashRecord> m_store;
+  /// A crash record in the store.
+  struct StoredCrash {
+    TimePoint m_lost;
+    CrashSighting m_sighting;
+  };
+  std::map<CrashRecord, StoredCrash> m_store;
   std::shared_ptr<const RoutingTable> m_table;
   std::vector<FleetMember> m_fleet;
   uint64_t m_next = 1;
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -116,13 +116,92 @@
   cr_assert_eq(simulation.Suspected(), 0);
 }
 
+constexpr RequestDigest kPopular{.m_high = 4, .m_low = 1};
+
+// The servers of a failure domain crash at one moment under a request that many
+// callers send. It was refused for a day, though other servers answered it.
+Test(CrashingRequest, DomainCrashes_PopularRequest_IsNotHeldBack) {
+  for (uint32_t seed = 1; seed <= 5; ++seed) {
+    CrashSimulation simulation(6, 14, seed);
+    simulation.SendRepeatedly(kPopular, milliseconds(5), seconds(3));
+    simulation.CrashDomain("d1");
+    const size_t answered =
+        simulation.SendRepeatedly(kPopular, milliseconds(5), seconds(3));
+    cr_expect_gt(answered, 400, "seed %u: %zu of 600", seed, answered);
+    cr_expect_eq(simulation.HeldBack(), 0, "seed %u", seed);
+  }
+}
+
+// The same while no server has answered the request yet: the first callers send
+// it at once. The servers that did not crash answer it.
+Test(CrashingRequest, DomainCrashes_FirstRunsAreUnderWay_IsReleasedByTheirs) {
+  for (uint32_t seed = 1; seed <= 5; ++seed) {
+    CrashSimulation simulation(12, 14, seed, milliseconds(20));
+    simulation.SendRepeatedly(kPopular, milliseconds(1), milliseconds(40));
+    simulation.CrashDomain("d1");
+    simulation.RunFor(seconds(2));
+    const size_t answered =
+        simulation.SendRepeatedly(kPopular, milliseconds(50), seconds(2));
+    cr_expect_gt(answered, 30, "seed %u: %zu of 40", seed, answered);
+  }
+}
+
+// Several callers send a crashing request at the same moment, again and again.
+// Its crashes coincide like those of a failure domain.
+Test(CrashingRequest, RepeatedByManyAtOnce_ThirdCrash_ReachesThreeMoreAtMost) {
+  for (uint32_t seed = 1; seed <= 10; ++seed) {
+    CrashSimulation simulation(12, 14, seed);
+    simulation.MakeCrashing(kCrashing);
+    simulation.StartNormalRequests(120);
+    simulation.RunFor(seconds(3));
+    for (int burst = 0; burst < 10; ++burst) {
+      for (int caller = 0; caller < 4; ++caller) {
+        simulation.SendRequest(simulation.RandomVm(), kCrashing, 4);
+      }
+      simulation.RunFor(seconds(3));
+    }
+    const size_t reached =
+        simulation.ArrivalsAfterThirdCrash(kCrashing, kPropagationTime);
+    cr_expect_leq(reached, 3, "seed %u: %zu sends", seed, reached);
+  }
+}
+
+// A popular request is at the servers that another one crashes. Only the other
+// one may be held back.
+Test(CrashingRequest, CrashesBesideAPopularRequest_ThatOne_IsServed) {
+  for (uint32_t seed = 1; seed <= 5; ++seed) {
+    CrashSimulation simulation(12, 14, seed);
+    simulation.MakeCrashing(kCrashing);
+    simulation.SendRepeatedly(kPopular, milliseconds(20), seconds(2));
+    for (int attempt = 0; attempt < 20; ++attempt) {
+      simulation.SendRequest(simulation.RandomVm(), kCrashing, 4);
+      simulation.SendRepeatedly(kPopular, milliseconds(20), milliseconds(300));
+    }
+    cr_expect_leq(simulation.HeldBack(), simulation.Vms(), "seed %u", seed);
+    cr_expect_leq(
+        simulation.ArrivalsAfterThirdCrash(kCrashing, kPropagationTime), 3);
+    simulation.RunFor(seconds(6));
+    const size_t answered =
+        simulation.SendRepeatedly(kPopular, milliseconds(20), seconds(2));
+    cr_expect_gt(answered, 80, "seed %u: %zu of 100", seed, answered);
+  }
+}
+
 /// A single VM with crash records of one request.
 struct CrashRecordFixture : SteeringFixture {
   RequestDigest m_digest{.m_high = 3, .m_low = 3};
 
+  /// Servers that crashed together a second ago, under runs that lasted longer.
+  void AddCoincidentCrashes(std::initializer_list<const char*> runs) {
+    for (const char* run : runs) {
+      m_steering.ApplyPeerCrash(
+          {m_digest, run},
+          {.m_age = seconds(1), .m_under_way = milliseconds(60)}, m_now);
+    }
+  }
   void AddCrashes(std::initializer_list<const char*> runs) {
     for (const char* run : runs) {
-      m_steering.ApplyPeerCrash({m_digest, run}, seconds(1), m_now);
+      m_steering.ApplyPeerCrash({m_digest, run}, {.m_age = seconds(1)}, m_now);
     }
   }
   SendToServer SendAgain(const std::string& path) {
@@ -170,6 +249,63 @@
                std::chrono::hours(23));
 }
 
+// A run at a sound server began before others crashed together. It was
+// cancelled, and with it the response that shows that the request crashes none.
+Test(CrashingRequest, RunIsOlderThanTheCrashes_Hold_DoesNotCancelIt) {
+  CrashRecordFixture fixture;
+  const SendToServer send = fixture.SendAgain("/read/x");
+  fixture.m_now += seconds(2);
+  fixture.AddCoincidentCrashes({"old-1", "old-2", "old-3"});
+  cr_assert_eq(fixture.Count<RequestHeld>(), 1);
+  cr_assert_eq(fixture.Count<CancelSend>(), 0);
+  fixture.End(send, AttemptEnd::kAnswered);
+  cr_assert_eq(fixture.Count<HoldEnded>(), 1);
+}
+
+// Servers that crashed together had a request that none has answered. It was
+// refused for a day, although a single run would have released it.
+Test(CrashingRequest, CoincidentCrashes_OneRun_IsTriedAndReleases) {
+  CrashRecordFixture fixture;
+  fixture.AddCoincidentCrashes({"old-1", "old-2", "old-3"});
+  fixture.ArriveAgain("/read/x", fixture.m_digest);
+  cr_assert_eq(fixture.LastReason(), SteerRefusal::kHeldBack);
+  cr_assert_leq(fixture.Last<RefuseRequest>()->m_retry_after, seconds(2));
+  fixture.m_now += seconds(2);
+  const SendToServer trial = fixture.SendAgain("/read/x");
+  fixture.ArriveAgain("/read/x", fixture.m_digest);
+  cr_assert_eq(fixture.Count<SendToServer>(), 1);
+  fixture.End(trial, AttemptEnd::kAnswered);
+  cr_assert_eq(fixture.Count<HoldEnded>(), 1);
+  fixture.SendAgain("/read/x");
+  cr_assert_eq(fixture.Count<SendToServer>(), 2);
+}
+
+// The request does crash servers: the trials end, and it is refused for a day.
+Test(CrashingRequest, EachTrialCrashesAServer_Request_IsHeldForADay) {
+  CrashRecordFixture fixture;
+  fixture.AddCoincidentCrashes({"old-1", "old-2", "old-3"});
+  milliseconds start(1000);
+  const auto restart = [&](const std::string& server) {
+    start += milliseconds(1000);
+    fixture.m_steering.PutServer(
+        {server, "s", {1, 80}, "d1", 2, false, {}, start}, fixture.m_now);
+  };
+  restart("a");
+  restart("b");
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    fixture.Pass(seconds(2));
+    const size_t sends = fixture.Count<SendToServer>();
+    fixture.ArriveAgain("/write/x", fixture.m_digest);
+    fixture.Pass(milliseconds(60));
+    if (fixture.Count<SendToServer>() > sends) {
+      restart(fixture.Last<SendToServer>()->m_instance);
+    }
+  }
+  cr_assert_leq(fixture.Count<SendToServer>(), 3);
+  cr_assert_gt(fixture.Last<RefuseRequest>()->m_retry_after,
+               std::chrono::hours(23));
+}
+
 // An operator releases a request whose cause is fixed by removing its records.
 Test(CrashingRequest, HeldBack_RecordsRemoved_IsSentAgain) {
   CrashRecordFixture fixture;
--- a/tests/held_command_test.cc
+++ b/tests/held_command_test.cc
@@ -37,7 +37,7 @@
   void Put(const CrashRecord& record) {
     m_store.PutText(
         CrashKey(record),
-        EncodeStoredCrash({{record, "reads", "h.example", "/read/7"},
+        EncodeStoredCrash({{record, {}, "reads", "h.example", "/read/7"},
                            "vm-1",
                            milliseconds(1)}));
   }
