Bound the memory of a body by its bytes, however it is chunked

A caller who sent one body of 48 MiB in chunks of 4 bytes took a VM over its memory; the process was killed, and 24 requests of others were cut off.

Cause: the HTTP library's server keeps a record for each chunk until the request is complete; the limit counts the bytes of the body.

The HTTP server is now our own on Asio and http_parser (HttpConnection, HttpRequestParser), as connections to servers are. A body is one buffer. The library's server has no hook that sees the bytes of an arriving body, so this could not be mended around it; the bound on arriving bodies needs the same.

With it, a head that is refused (400, 431) no longer cuts off the requests before it, and a refusal reaches a client that is still sending: after the last response only the sending side is shut down, and input is read for 2 s at most.

--- /dev/null
+++ b/src/net/http_limits_type.h
@@ -0,0 +1,18 @@
+/// @file http_limits_type.h Limits of an HTTP server.
+
+#ifndef SORRELPLANK_NET_HTTP_LIMITS_TYPE_H_
+#define SORRELPLANK_NET_HTTP_LIMITS_TYPE_H_
+
+#include <cstddef>
+
+namespace sorrelplank {
+
+/// Limits on what a client can make the server hold in memory.
+struct HttpLimits {
+  size_t m_max_body_bytes = 1U << 20U;
+  size_t m_max_field_bytes = 8192;
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_NET_HTTP_LIMITS_TYPE_H_
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "net/http_limits_type.h"
 #include "net/http_message_type.h"
 
 namespace asio {
@@ -17,13 +18,11 @@
 
 namespace sorrelplank {
 
-/// Limits on what a client can make the server hold in memory.
-struct HttpLimits {
-  size_t m_max_body_bytes = 1U << 20U;
-  size_t m_max_field_bytes = 8192;
-};
-
-/// HTTP server by RESTinio, on an io_context that one thread runs.
+/// HTTP/1.1 server over Asio, on an io_context that one thread runs.
+///
+/// No library's server is used, because the memory of arriving bodies must be
+/// bounded, and a connection closed only after its last response. See
+/// HttpConnection.
 class HttpServer {
  public:
   using Handler = std::function<void(HttpRequest, HttpReply)>;
--- a/tests/pipelined_requests_test.cc
+++ b/tests/pipelined_requests_test.cc
@@ -133,6 +133,39 @@
   cr_expect_eq(CountOf(bytes, " 200 OK"), 2, "%s", bytes.c_str());
 }
 
+// A head that can't be accepted cut off the requests before it.
+Test(PipelinedRequests, HeadWithTooManyFields_RequestsBefore_AreAnswered) {
+  g_fixture->SendRequests(3);
+  std::string head = "GET / HTTP/1.1\r\nHost: h\r\n";
+  for (int number = 0; number < 120; ++number) {
+    head += "f" + std::to_string(number) + ": v\r\n";
+  }
+  g_fixture->Send(head + "\r\n");
+  for (const HttpReply& reply : g_fixture->m_replies) {
+    reply(HttpResponse());
+  }
+  const std::string bytes = g_fixture->ReadAll();
+  cr_expect_eq(CountOf(bytes, " 200 OK"), 3, "%s", bytes.c_str());
+  cr_expect_eq(CountOf(bytes, " 431 "), 1, "%s", bytes.c_str());
+}
+
+// A body over the limit is refused by its length. The client reads the response
+// after it has sent everything.
+Test(PipelinedRequests, BodyOverTheLimit_ClientSendsOn_GetsTheRefusal) {
+  const std::string body(4U << 20U, 'x');
+  g_fixture->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n");
+  asio::async_write(g_fixture->m_client, asio::buffer(body),
+                    [](std::error_code error, size_t) {
+                      cr_expect_not(error, "%s", error.message().c_str());
+                    });
+  g_fixture->Run();
+  g_fixture->m_client.shutdown(asio::ip::tcp::socket::shutdown_send);
+  const std::string bytes = g_fixture->ReadAll();
+  cr_expect_eq(CountOf(bytes, " 413 "), 1, "%s", bytes.c_str());
+  cr_expect(g_fixture->m_replies.empty());
+}
+
 Test(ResponsePipeline, CloseIsWanted_OnlyTheLastResponse_Closes) {
   ResponsePipeline pipeline;
   const uint64_t first = pipeline.AddRequest();
