Ask for the memory of a body before it is read

Callers who sent five bodies of 56 MiB at once, within the limits, took a VM over its memory: the process was killed, and 24 of 24 requests of others at sound servers ended with a closed connection.

Cause: BodyBudget was asked once a request was complete. Bytes of a body that was still arriving were held and counted by nobody.

Evidence: in the script's record the process is killed 2.5 s after the bodies begin, before one of them is complete or passed on. That rules out copies of complete bodies; the same requests with 300 bytes stay at 22 MiB.

Now the budget is asked with the head, for the whole length; a body without a length is asked for as it grows. What does not fit gets 503 with a Retry-After at once, and its bytes are dropped; the client gets the response also while it sends. A body that stalls for 30 s or takes over 60 s gets 408. Requests passed on by other VMs take the same path. Reading is not paused instead: bodies that each hold a part of the memory could block each other.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -24,6 +24,9 @@
 constexpr Duration kMaxIdleTime = seconds(300);
 /// Limit on the time in which nothing of a request's head or body arrives.
 constexpr Duration kMaxRequestPause = seconds(30);
+/// Limit on the time in which a body arrives, the longest time that a client
+/// waits for a response. A slow client must not keep memory reserved for ever.
+constexpr Duration kMaxBodyTime = seconds(60);
 /// Limit on the time that a client takes to read the responses of one write.
 constexpr Duration kMaxWriteTime = seconds(30);
 /// How long a connection is read after its last response. A client that is
@@ -102,6 +105,13 @@
   const bool is_read_overdue =
       (is_waiting && now - m_read_began > kMaxIdleTime) ||
       (is_mid_request && m_is_reading && now - m_read_began > kMaxRequestPause);
+  const bool is_body_overdue =
+      m_is_body_arriving && !m_parser.IsDiscarding() &&
+      (is_read_overdue || now - m_body_began > kMaxBodyTime);
+  if (is_body_overdue) {
+    OnBodyOverdue(now);
+    return;
+  }
   const bool is_write_overdue =
       !m_outgoing.empty() && now - m_write_began > kMaxWriteTime;
   const bool is_linger_over =
@@ -159,12 +169,15 @@
     switch (m_parser.CurrentState()) {
       case HttpRequestParser::State::kIdle:
       case HttpRequestParser::State::kHead:
-      case HttpRequestParser::State::kBody:
         break;
       case HttpRequestParser::State::kHeadDone:
         OnHead();
         break;
+      case HttpRequestParser::State::kBody:
+        AdmitGrownBody();
+        break;
       case HttpRequestParser::State::kComplete:
+        AdmitGrownBody();
         OnRequest();
         break;
       case HttpRequestParser::State::kFailed:
@@ -195,13 +208,40 @@
                          m_context->m_limits.m_max_body_bytes)));
     return;
   }
-  if (length) {
+  m_body_began = SteadyNow();
+  m_parser.Request().m_connection = m_id;
+  if (m_parser.HasBody()) {
+    AdmitBody(length.value_or(0));
+  }
+  if (length && !m_parser.IsDiscarding()) {
     m_parser.Request().m_body.reserve(*length);
   }
 }
 
+void HttpConnection::AdmitBody(size_t bytes) {
+  if (auto refusal = m_context->m_admit_body(m_parser.Request(), bytes)) {
+    RefuseBody(std::move(*refusal));
+  }
+}
+
+void HttpConnection::AdmitGrownBody() {
+  if (!m_parser.IsDiscarding() && !m_parser.BodyLength()) {
+    AdmitBody(m_parser.Request().m_body.size());
+  }
+}
+
+void HttpConnection::OnBodyOverdue(TimePoint now) {
+  // The pause begins anew, so that the response can be written.
+  m_read_began = now;
+  HttpResponse refusal =
+      ErrorResponse(408, R"({"error":"the body has not arrived in time"})");
+  refusal.m_close = true;
+  RefuseBody(std::move(refusal));
+}
+
 void HttpConnection::RefuseBody(HttpResponse refusal) {
   m_parser.DiscardBody();
+  m_parser.Request().m_held.reset();
   const auto length = m_parser.BodyLength();
   refusal.m_close |= !length || *length > kMaxDroppedBodyBytes;
   Respond(m_number, std::move(refusal));
@@ -217,7 +257,6 @@
   HttpRequest request = std::move(m_parser.Request());
   m_parser.Next();
   request.m_remote_ip = m_remote_ip;
-  request.m_connection = m_id;
   const bool is_head_request = request.m_method == "HEAD";
   const uint64_t number = m_number;
   HttpReply reply = [weak = weak_from_this(), number,
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -45,6 +45,12 @@
   void Consume();
   bool MayParse() const;
   void OnHead();
+  /// Asks whether the body may be read, and refuses it if not.
+  void AdmitBody(size_t bytes);
+  /// The same for more of a body without a length.
+  void AdmitGrownBody();
+  /// The body has not arrived in time.
+  void OnBodyOverdue(TimePoint now);
   void OnRequest();
   void OnParseFailure();
   /// Refuses the request whose body is arriving, and drops the body.
@@ -84,6 +90,8 @@
   bool m_is_closed = false;
   /// Beginning of the read or write under way, and of lingering.
   TimePoint m_read_began{};
+  /// When the last head was complete.
+  TimePoint m_body_began{};
   TimePoint m_write_began{};
   TimePoint m_linger_began{};
 };
--- a/src/net/http_message_type.h
+++ b/src/net/http_message_type.h
@@ -16,6 +16,8 @@
 
 namespace sorrelplank {
 
+class BodyReservation;
+
 /// Header fields in the order in which they are sent.
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
@@ -34,6 +36,8 @@
   std::string m_body;
   uint32_t m_remote_ip = 0;
   uint64_t m_connection = 0;
+  /// Counts the memory of the request, if it was admitted before its body.
+  std::shared_ptr<BodyReservation> m_held;
 
   /// A header by its lower-case name.
   std::optional<std::string> Header(const std::string& name) const;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -64,6 +64,10 @@
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
 
+  void SetBodyAdmission(BodyAdmission admission) {
+    m_context->m_admit_body = std::move(admission);
+  }
+
   void Stop() {
     AfterReading([this] {
       m_accept_timer.cancel();
@@ -199,6 +203,10 @@
 
 HttpServer::~HttpServer() = default;
 
+void HttpServer::SetBodyAdmission(BodyAdmission admission) {
+  m_impl->SetBodyAdmission(std::move(admission));
+}
+
 void HttpServer::Stop() {
   m_impl->Stop();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -7,6 +7,7 @@
 #include <exception>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/http_limits_type.h"
@@ -29,6 +30,12 @@
   /// Called when a connection is closed, even with a request in progress.
   using ClosedHandler = std::function<void(uint64_t connection)>;
   using FailureHandler = std::function<void(std::exception_ptr)>;
+  /// Decides whether a body may be read, by the request's head and the bytes of
+  /// the body that are known: its length, or, without one, what has arrived;
+  /// then it is called again as the body grows. Returns the refusal if not.
+  using BodyAdmission =
+      std::function<std::optional<HttpResponse>(HttpRequest& head,
+                                                size_t body_bytes)>;
 
   /// Starts to listen; throws std::runtime_error if it cannot.
   HttpServer(asio::io_context& io,
@@ -39,6 +46,9 @@
              ClosedHandler closed = nullptr);
   ~HttpServer();
 
+  /// Without one, all bodies within the limits are read.
+  void SetBodyAdmission(BodyAdmission admission);
+
   /// Stops accepting connections, once those that the kernel has accepted have
   /// been taken over; closing the socket would reset them.
   void Stop();
--- a/src/net/http_server_context.h
+++ b/src/net/http_server_context.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "net/http_limits_type.h"
@@ -22,6 +23,8 @@
   std::function<void(HttpRequest, HttpReply)> m_handler;
   /// May be empty.
   std::function<void(uint64_t connection)> m_on_closed;
+  std::function<std::optional<HttpResponse>(HttpRequest&, size_t)>
+      m_admit_body = [](HttpRequest&, size_t) { return std::nullopt; };
   std::unordered_map<uint64_t, std::shared_ptr<HttpConnection>> m_connections;
   /// Connections accepted and requests read.
   size_t m_arrivals = 0;
--- a/src/proxy/body_budget.cc
+++ b/src/proxy/body_budget.cc
@@ -59,16 +59,26 @@
 
 std::optional<BodyReservation> BodyBudget::Reserve(const RequestSize& size,
                                                    size_t open_requests) {
+  BodyReservation reservation = ForRequest();
+  if (!GrowTo(reservation, size, open_requests)) {
+    return std::nullopt;
+  }
+  return reservation;
+}
+
+bool BodyBudget::GrowTo(BodyReservation& held,
+                        const RequestSize& size,
+                        size_t open_requests) {
   const size_t bytes =
       kOpenRequestBytes + size.m_head_bytes + size.m_body_bytes;
+  const size_t more = bytes - std::min(bytes, held.Bytes());
   const auto expected = static_cast<size_t>(m_response_bytes *
                                             static_cast<double>(open_requests));
-  if (m_bound != 0 && Held() + expected + bytes > LimitFor(size.m_body_bytes)) {
-    return std::nullopt;
+  if (m_bound != 0 && Held() + expected + more > LimitFor(size.m_body_bytes)) {
+    return false;
   }
-  BodyReservation reservation(m_held);
-  reservation.Grow(bytes);
-  return reservation;
+  held.Grow(more);
+  return true;
 }
 
 void BodyBudget::AddResponse(size_t body_bytes) {
--- a/src/proxy/body_budget.h
+++ b/src/proxy/body_budget.h
@@ -37,6 +37,15 @@
   std::optional<BodyReservation> Reserve(const RequestSize& size,
                                          size_t open_requests);
 
+  /// Grows a reservation to the size of a request whose body is arriving, or
+  /// returns false if that does not fit.
+  bool GrowTo(BodyReservation& held,
+              const RequestSize& size,
+              size_t open_requests);
+
+  /// An empty reservation for a request whose body is arriving.
+  BodyReservation ForRequest() const { return BodyReservation(m_held); }
+
   /// Records the size of a server's response, as an estimate of later ones.
   void AddResponse(size_t body_bytes);
 
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -90,6 +90,67 @@
   reply(std::move(response));
 }
 
+std::optional<HttpResponse> RequestProxy::AdmitBody(HttpRequest& head,
+                                                    size_t body_bytes) {
+  const RoutingTable* table = m_steering.Table();
+  std::optional<HttpResponse> refusal;
+  if (table != nullptr && body_bytes > table->m_limits.m_body_bytes) {
+    RejectMalformed(
+        [&refusal](HttpResponse response) { refusal = std::move(response); },
+        413, "body too large");
+  } else if (!ReserveBody(head, body_bytes)) {
+    refusal = RefuseBody(head, body_bytes, false);
+  }
+  return refusal;
+}
+
+std::optional<HttpResponse> RequestProxy::AdmitPassedOnBody(HttpRequest& head,
+                                                            size_t body_bytes) {
+  if (ReserveBody(head, body_bytes)) {
+    return std::nullopt;
+  }
+  return RefuseBody(head, body_bytes, true);
+}
+
+bool RequestProxy::ReserveBody(HttpRequest& head, size_t body_bytes) {
+  if (!head.m_held) {
+    head.m_held = std::make_shared<BodyReservation>(m_bodies.ForRequest());
+  }
+  return m_bodies.GrowTo(
+      *head.m_held,
+      {.m_head_bytes = HeadBytes(head), .m_body_bytes = body_bytes},
+      m_open_requests.size());
+}
+
+HttpResponse RequestProxy::RefuseBody(const HttpRequest& head,
+                                      size_t body_bytes,
+                                      bool is_passed_on) {
+  HttpResponse refusal;
+  OpenRequest open;
+  open.m_id = head.Header(m_names.m_request_id).value_or("");
+  open.m_is_passed_on = is_passed_on;
+  open.m_body_bytes = body_bytes;
+  open.m_arrived = SteadyNow();
+  open.m_reply = [&refusal](HttpResponse response) {
+    refusal = std::move(response);
+  };
+  const RequestId request(m_next_request++);
+  m_open_requests.emplace(request, std::move(open));
+  RefuseForMemory(request);
+  return refusal;
+}
+
+void RequestProxy::RefuseForMemory(RequestId request) {
+  const RoutingTable* table = m_steering.Table();
+  RefuseRequest refusal;
+  refusal.m_request = request;
+  refusal.m_reason = SteerRefusal::kNoMemory;
+  refusal.m_retry_after =
+      BodyBudget::RetryAfter(HashOf(m_open_requests.at(request).m_id));
+  refusal.m_table_version = table == nullptr ? 0 : table->m_version;
+  Handle(refusal);
+}
+
 void RequestProxy::Accept(HttpRequest request, HttpReply reply) {
   const auto id = request.Header(m_names.m_request_id);
   const auto host = request.Header("host");
@@ -129,7 +190,6 @@
 void RequestProxy::Begin(HttpRequest request,
                          HttpReply reply,
                          std::optional<PassedOnTerms> passed_on) {
-  const RoutingTable* table = m_steering.Table();
   const std::string id = *request.Header(m_names.m_request_id);
   RequestFacts facts;
   facts.m_request = RequestId(m_next_request++);
@@ -145,27 +205,22 @@
       ComputeRequestDigest(request, m_names, IdentifyCaller(facts));
   m_requests_by_connection.emplace(request.m_connection, facts.m_request);
   OpenRequest open;
-  auto held = m_bodies.Reserve({.m_head_bytes = HeadBytes(request),
-                                .m_body_bytes = request.m_body.size()},
-                               m_open_requests.size());
+  const bool is_held = ReserveBody(request, request.m_body.size());
+  if (is_held) {
+    open.m_held = std::move(*request.m_held);
+  }
+  request.m_held.reset();
   open.m_id = id;
+  open.m_body_bytes = request.m_body.size();
   open.m_is_passed_on = passed_on.has_value();
   open.m_digest = facts.m_digest;
   open.m_request = std::move(request);
   open.m_reply = std::move(reply);
   open.m_arrived = SteadyNow();
   const TimePoint now = open.m_arrived;
-  if (held) {
-    open.m_held = std::move(*held);
-  }
   m_open_requests.emplace(facts.m_request, std::move(open));
-  if (!held) {
-    RefuseRequest refusal;
-    refusal.m_request = facts.m_request;
-    refusal.m_reason = SteerRefusal::kNoMemory;
-    refusal.m_retry_after = BodyBudget::RetryAfter(HashOf(id));
-    refusal.m_table_version = table == nullptr ? 0 : table->m_version;
-    Handle(refusal);
+  if (!is_held) {
+    RefuseForMemory(facts.m_request);
     return;
   }
   m_steering.Arrived(std::move(facts), now);
@@ -430,27 +485,26 @@
       fmt::format("{:.3f}", ToMilliseconds(action.m_retry_after) / 1000);
   OpenRequest& open = m_open_requests.at(action.m_request);
   open.m_is_returning = action.m_is_returning;
-  m_log.Write(
-      "refuse",
-      {{"request", open.m_id},
-       {"reason", row.m_name},
-       {"content", FormatDigest(open.m_digest)},
-       {"organisation", action.m_organisation},
-       {"ends", static_cast<int64_t>(action.m_crashes)},
-       {"verdict", VerdictName(row.m_verdict)},
-       {"waited_ms", LogMs(action.m_waited)},
-       {"sends", int64_t{action.m_sends}},
-       {"passed_over", int64_t{action.m_passed_over}},
-       {"line", static_cast<int64_t>(action.m_queue.m_ahead)},
-       {"ends_per_second", action.m_queue.m_completions_per_second},
-       {"usual_ms", LogMs(action.m_queue.m_usual_latency)},
-       {"forecast_ms", LogMs(action.m_time_to_answer)},
-       {"time_left_ms", LogMs(action.m_time_left)},
-       {"retry_after_s", retry_after},
-       {"returning", int64_t{action.m_is_returning ? 1 : 0}},
-       {"body_bytes", static_cast<int64_t>(open.m_request.m_body.size())},
-       {"held_bytes", static_cast<int64_t>(m_bodies.Held())},
-       {"config", static_cast<int64_t>(action.m_table_version)}});
+  m_log.Write("refuse",
+              {{"request", open.m_id},
+               {"reason", row.m_name},
+               {"content", FormatDigest(open.m_digest)},
+               {"organisation", action.m_organisation},
+               {"ends", static_cast<int64_t>(action.m_crashes)},
+               {"verdict", VerdictName(row.m_verdict)},
+               {"waited_ms", LogMs(action.m_waited)},
+               {"sends", int64_t{action.m_sends}},
+               {"passed_over", int64_t{action.m_passed_over}},
+               {"line", static_cast<int64_t>(action.m_queue.m_ahead)},
+               {"ends_per_second", action.m_queue.m_completions_per_second},
+               {"usual_ms", LogMs(action.m_queue.m_usual_latency)},
+               {"forecast_ms", LogMs(action.m_time_to_answer)},
+               {"time_left_ms", LogMs(action.m_time_left)},
+               {"retry_after_s", retry_after},
+               {"returning", int64_t{action.m_is_returning ? 1 : 0}},
+               {"body_bytes", static_cast<int64_t>(open.m_body_bytes)},
+               {"held_bytes", static_cast<int64_t>(m_bodies.Held())},
+               {"config", static_cast<int64_t>(action.m_table_version)}});
   HttpResponse response;
   response.m_status = row.m_status;
   response.m_headers.emplace_back(m_names.m_request_id, open.m_id);
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -54,6 +54,13 @@
     m_send_quota_request = std::move(sender);
   }
 
+  /// Decides whether the body of a client's request may be read. Reserves the
+  /// memory of the request, or returns the refusal. May be called again with
+  /// more bytes.
+  std::optional<HttpResponse> AdmitBody(HttpRequest& head, size_t body_bytes);
+  /// The same for a request that another entry VM passes on.
+  std::optional<HttpResponse> AdmitPassedOnBody(HttpRequest& head,
+                                                size_t body_bytes);
   /// Handles a client's request. The reply handler is called once, unless the
   /// client closes its connection first.
   void Accept(HttpRequest request, HttpReply reply);
@@ -90,6 +97,7 @@
     bool m_is_returning = false;
     /// Another entry VM passed it on.
     bool m_is_passed_on = false;
+    size_t m_body_bytes = 0;
     /// Response of the last send that ended.
     HttpResponse m_server_response;
     BodyReservation m_response_held;
@@ -114,6 +122,13 @@
   void Handle(const CrashesDropped& action);
   void Handle(const SendQuotaRequest& action);
 
+  /// Reserves the memory of a request, or returns false.
+  bool ReserveBody(HttpRequest& head, size_t body_bytes);
+  /// The refusal of a request whose body does not fit and has not been read.
+  HttpResponse RefuseBody(const HttpRequest& head,
+                          size_t body_bytes,
+                          bool is_passed_on);
+  void RefuseForMemory(RequestId request);
   /// Hands a well-formed request to the steering decisions.
   void Begin(HttpRequest request,
              HttpReply reply,
--- a/tests/pipelined_requests_test.cc
+++ b/tests/pipelined_requests_test.cc
@@ -53,11 +53,9 @@
     }
     Send(bytes);
   }
-  /// Runs the server until it is idle for 50 ms.
   void Run() {
     m_io.restart();
-    while (m_io.run_one_for(std::chrono::milliseconds(50)) > 0) {
-    }
+    m_io.run_for(std::chrono::milliseconds(50));
   }
   /// Reads until the server closes the connection.
   std::string ReadAll() {
