Let a client that sends a refused body slowly read the refusal

A client that takes over 2 s to send a refused body lost the 503 that was waiting for it: the server closed 2 s after the response, the bytes that still came reset the connection, and the client could not tell whether its request had run.

Cause: the time in which input is dropped after the last response counted from that response. Now it counts from the last bytes that arrived, and ends after 60 s in any case. Likewise a pause within a request no longer closes a connection on which earlier requests are still being served.

ArrivingBody RefusedBodyIsSentSlowly_*: "Broken pipe" before, passes now. The second point was found by reading and has no test.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 #include <exception>
@@ -29,8 +30,9 @@
 constexpr Duration kMaxBodyTime = seconds(60);
 /// Limit on the time that a client takes to read the responses of one write.
 constexpr Duration kMaxWriteTime = seconds(30);
-/// How long a connection is read after its last response. A client that is
-/// still sending has read the response by then.
+/// How long a connection is read after its last response, from the last bytes
+/// that arrived, and kMaxBodyTime at most. A client may send the whole body
+/// before it reads the response.
 constexpr Duration kLingerTime = seconds(2);
 /// A refused body up to this size is read and dropped, so that the client can
 /// keep its connection; a larger one closes it.
@@ -101,21 +103,23 @@
 void HttpConnection::CloseIfOverdue(TimePoint now) {
   const bool is_mid_request =
       m_parser.CurrentState() != HttpRequestParser::State::kIdle;
-  const bool is_waiting = m_is_reading && m_pipeline.OpenCount() == 0;
-  const bool is_read_overdue =
-      (is_waiting && now - m_read_began > kMaxIdleTime) ||
-      (is_mid_request && m_is_reading && now - m_read_began > kMaxRequestPause);
+  const Duration pause = m_is_reading ? now - m_read_began : Duration::zero();
   const bool is_body_overdue =
       m_is_body_arriving && !m_parser.IsDiscarding() &&
-      (is_read_overdue || now - m_body_began > kMaxBodyTime);
+      (pause > kMaxRequestPause || now - m_body_began > kMaxBodyTime);
   if (is_body_overdue) {
     OnBodyOverdue(now);
     return;
   }
+  const bool is_read_overdue =
+      m_pipeline.OpenCount() == 0 &&
+      pause > (is_mid_request ? kMaxRequestPause : kMaxIdleTime);
   const bool is_write_overdue =
       !m_outgoing.empty() && now - m_write_began > kMaxWriteTime;
   const bool is_linger_over =
-      m_is_lingering && now - m_linger_began > kLingerTime;
+      m_is_lingering &&
+      (now - std::max(m_linger_began, m_read_began) > kLingerTime ||
+       now - m_linger_began > kMaxBodyTime);
   if (is_read_overdue || is_write_overdue || is_linger_over) {
     Close();
   }
--- a/tests/arriving_body_test.cc
+++ b/tests/arriving_body_test.cc
@@ -129,6 +129,19 @@
   cr_expect_eq(g_fixture->Held(), held);
 }
 
+// A client that took some seconds to send a refused body was cut off before it
+// read the refusal, and could not tell whether the request had run.
+Test(ArrivingBody, RefusedBodyIsSentSlowly_Client_GetsTheRefusal) {
+  tcp::socket& client = g_fixture->Announce(60U << 20U);
+  for (int step = 0; step < 10; ++step) {
+    g_fixture->Send(client, std::string(1000, 'x'));
+    g_fixture->m_io.run_for(std::chrono::milliseconds(400));
+  }
+  const std::string received = g_fixture->Received(client);
+  cr_expect_neq(received.find(" 503 "), std::string::npos, "%s",
+                received.c_str());
+}
+
 // A body that fits is counted once, from its head to the end of the request.
 Test(ArrivingBody, BodyFits_Memory_IsCountedOnce) {
   tcp::socket& client = g_fixture->Announce(kLargeBody);
