Count a trial of a held request only if a server ran it

A request that is held back is tried three times at most. A trial that a full server rejected, that found no server, or that was refused before it was sent used up one of them, and callers stayed refused for ten minutes though nothing had been learned. The first two were covered by whichever request of that content ended so, also by one that was no trial.

The request itself now says whether it is a trial; one that was not run gives it back when its send ends or when it is removed. Found by reading; CrashingRequest TrialsAreNotRun_* passes on this code and covers rejected and unsent trials, not those that are refused before. It was not run on the code before.

--- a/src/steer/steered_request_type.h
+++ b/src/steer/steered_request_type.h
@@ -136,6 +136,8 @@
   bool m_may_have_run = false;
   /// Held until it is known whether the server that lost it has crashed.
   bool m_awaits_check = false;
+  /// Sent although it is held back, and its trial counts.
+  bool m_is_trial = false;
   /// Number of lost attempts.
   uint32_t m_lost_sends = 0;
 };
--- a/src/steer/steering.cc
+++ b/src/steer/steering.cc
@@ -209,8 +209,9 @@
   const Duration time =
       std::min(request.m_facts.m_time_left, request.m_route->m_timeout);
   request.m_deadline = request.m_arrived + time;
+  request.m_is_trial = TryBeginTrial(request, now);
   if (m_crashes.IsHeldBack(request.m_facts.m_digest, now) &&
-      !TryBeginTrial(request, now)) {
+      !request.m_is_trial) {
     // A request that is retried endlessly would crash one server after the
     // other, each with the requests of other callers that run there.
     Refuse(request, SteerRefusal::kHeldBack, now);
--- a/src/steer/steering.h
+++ b/src/steer/steering.h
@@ -377,6 +377,8 @@
   /// Whether the request, which is held back, is sent to find out whether it
   /// crashes a server. Only one is, over all VMs.
   bool TryBeginTrial(const SteeredRequest& request, TimePoint now);
+  /// The request was not run, so that its trial, if it is one, does not count.
+  void UndoTrial(SteeredRequest& request);
   /// Whether this VM is the one that runs trials of the request.
   bool RunsTrialsOf(const RequestDigest& digest) const;
   void DropExpiredCrashes(TimePoint now);
--- a/src/steer/steering_crashes.cc
+++ b/src/steer/steering_crashes.cc
@@ -223,6 +223,12 @@
   return true;
 }
 
+void Steering::UndoTrial(SteeredRequest& request) {
+  if (std::exchange(request.m_is_trial, false)) {
+    m_crashes.UndoTrial(request.m_facts.m_digest);
+  }
+}
+
 bool Steering::RunsTrialsOf(const RequestDigest& digest) const {
   const auto weight = [&digest](const FleetMember& member) {
     return XXH3_64bits_withSeed(member.m_vm.data(), member.m_vm.size(),
--- a/src/steer/steering_ends.cc
+++ b/src/steer/steering_ends.cc
@@ -260,6 +260,9 @@
   if (it->second.m_awaits_server) {
     StopAwaitingServer(it->second);
   }
+  if (it->second.m_started_sends == 0) {
+    UndoTrial(it->second);
+  }
   m_requests.erase(it);
 }
 
--- a/src/steer/steering_requests.cc
+++ b/src/steer/steering_requests.cc
@@ -367,10 +367,9 @@
     m_sink(ForwardServerAnswer{id, attempt, is_hedge && is_first});
     RemoveRequest(id);
   } else {
+    request.m_may_have_run |= !ProvesNotRun(report.m_end);
     if (ProvesNotRun(report.m_end)) {
-      m_crashes.UndoTrial(request.m_facts.m_digest);
-    } else {
-      request.m_may_have_run = true;
+      UndoTrial(request);
     }
     if (report.m_end == AttemptEnd::kLost) {
       CountLost(request, *server, under_way, report.m_server_ended, now);
--- a/tests/crashing_request_test.cc
+++ b/tests/crashing_request_test.cc
@@ -280,6 +280,22 @@
   cr_assert_eq(fixture.Count<SendToServer>(), 2);
 }
 
+// The trial is rejected by a full server, or not sent at all, several times.
+// It shows nothing, and must not use up the trials.
+Test(CrashingRequest, TrialsAreNotRun_LaterOne_IsStillSent) {
+  CrashRecordFixture fixture;
+  fixture.AddCoincidentCrashes({"old-1", "old-2", "old-3"});
+  fixture.m_now += seconds(2);
+  for (int trial = 0; trial < 5; ++trial) {
+    fixture.Pass(seconds(3));
+    const size_t sends = fixture.Count<SendToServer>();
+    const SendToServer send = fixture.SendAgain("/read/x");
+    cr_assert_eq(fixture.Count<SendToServer>(), sends + 1, "trial %d", trial);
+    fixture.End(send,
+                trial % 2 == 0 ? AttemptEnd::kRejected : AttemptEnd::kNotSent);
+  }
+}
+
 // The request does crash servers: the trials end, and it is refused for a day.
 Test(CrashingRequest, EachTrialCrashesAServer_Request_IsHeldForADay) {
   CrashRecordFixture fixture;
