Keep listening if a port is reopened before its stop has ended

A VM that closes its clients' port for want of a routing table, and gets one before the listener is closed, ended its process with client_port_failed: the stop waits for what has arrived, and the reopening found the listener open. With the HTTP library's server the late stop is likely to have closed the port for good instead; that was not run.

Reopening now calls the pending stop off. A connection that could not be accepted no longer leads to another accept after the listener has closed.

Found by reading. HttpServer ReopenedBeforeTheStopEnds_*: "cannot listen" before, passes now.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -69,7 +69,12 @@
   }
 
   void Stop() {
+    m_is_stopping = true;
     AfterReading([this] {
+      if (!m_is_stopping) {
+        // Reopened before the listener was closed.
+        return;
+      }
       m_accept_timer.cancel();
       std::error_code ignored;
       m_acceptor.close(ignored);
@@ -86,9 +91,10 @@
   }
 
   void Reopen(FailureHandler on_failure) {
+    m_is_stopping = false;
     asio::post(m_io, [this, alive = std::weak_ptr<void>(m_alive),
                       on_failure = std::move(on_failure)] {
-      if (alive.expired()) {
+      if (alive.expired() || m_acceptor.is_open()) {
         return;
       }
       try {
@@ -134,7 +140,7 @@
   void AcceptLater() {
     m_accept_timer.expires_after(kAcceptPause);
     m_accept_timer.async_wait([this](std::error_code error) {
-      if (!error) {
+      if (!error && m_acceptor.is_open()) {
         Accept();
       }
     });
@@ -185,6 +191,8 @@
   std::shared_ptr<HttpServerContext> m_context =
       std::make_shared<HttpServerContext>();
   uint64_t m_next_connection = 1;
+  /// The listener closes once everything that has arrived is read.
+  bool m_is_stopping = false;
   /// Expires with this object.
   std::shared_ptr<void> m_alive = std::make_shared<int>(0);
 };
--- a/tests/http_server_test.cc
+++ b/tests/http_server_test.cc
@@ -139,6 +139,18 @@
   cr_assert_gt(g_fixture->ReadAll(), kLongBodyBytes);
 }
 
+// A VM gets its routing table just after it has decided to close its port. The
+// port stayed closed, because the decision was carried out later.
+Test(HttpServer, ReopenedBeforeTheStopEnds_Server_KeepsListening) {
+  g_fixture->m_body_bytes = 10;
+  g_fixture->m_server.Stop();
+  g_fixture->m_server.Reopen(
+      [](const std::exception_ptr&) { cr_assert_fail("cannot listen"); });
+  g_fixture->RunUntilIdle();
+  g_fixture->SendRequest();
+  cr_assert_gt(g_fixture->ReadAll(), 10);
+}
+
 // A planned stop while the event loop is busy: connections that the kernel had
 // accepted were reset, with whole requests on them.
 Test(HttpServer, Stop_ConnectionsWaitToBeAccepted_AllAreAnswered) {
