Take no response with an invalid head for an answer

Clients got a response with the status 000 as an answer, and, as other systems had it, one whose head holds a field name with a blank, with that line passed on or a body cut by it.

Cause: http_parser, as it is linked, accepts any number as a status, blanks in field names and folded lines; libcurl passes control bytes on, and ends a head at a zero byte without an error. Both were taken for valid HTTP.

Evidence: InvalidResponse *, on the code before: four of five tests fail, with 597 failed checks, for ServerConnection and for HttpClient. A fault of our own reading of parsed fields is ruled out: the names arrive so from the parser's callbacks. The fifth test, of unusual but valid heads, passes before and after.

HttpHeadCheck reads each byte of a head before the parser does. An invalid head ends an attempt as lost, so nothing is promised about the run, and closes its connection, so nothing behind it is taken for the next response. A fetch ends as malformed.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "net/http_head_check.h"
+
 namespace sorrelplank {
 
 namespace {
@@ -94,6 +96,8 @@
     HttpResponse m_response;
     size_t m_head_bytes = 0;
     bool m_too_large = false;
+    bool m_is_head_invalid = false;
+    bool m_is_head_complete = false;
     /// Latest time of the next byte, with m_max_pause.
     std::chrono::steady_clock::time_point m_next_byte_by{};
     std::unique_ptr<asio::steady_timer> m_pause_timer;
@@ -224,6 +228,16 @@
       return 0;
     }
     const std::string line(data, size * count);
+    const bool is_status_line = IsStatusLine(line);
+    const bool is_head_end = line == "\r\n" || line == "\n";
+    if (!is_status_line && !is_head_end && !IsFieldLine(line)) {
+      fetch->m_is_head_invalid = true;
+      return 0;
+    }
+    // libcurl drops a line that begins with a zero byte, and what follows it,
+    // without an error.
+    fetch->m_is_head_complete =
+        !is_status_line && (is_head_end || fetch->m_is_head_complete);
     const size_t colon = line.find(':');
     if (colon != std::string::npos) {
       std::string name = ToLower(Trim(line.substr(0, colon)));
@@ -359,7 +373,8 @@
   /// count as sent.
   static FetchOutcome Classify(const Fetch& fetch, CURLcode code) {
     if (code == CURLE_OK) {
-      return FetchOutcome::kAnswered;
+      return fetch.m_is_head_complete ? FetchOutcome::kAnswered
+                                      : FetchOutcome::kMalformed;
     }
     if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
         code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) {
@@ -368,6 +383,9 @@
     if (fetch.m_too_large) {
       return FetchOutcome::kTooLarge;
     }
+    if (fetch.m_is_head_invalid) {
+      return FetchOutcome::kMalformed;
+    }
     long sent = 0;  // NOLINT(google-runtime-int)
     curl_easy_getinfo(fetch.m_easy, CURLINFO_REQUEST_SIZE, &sent);
     double connect_seconds = 0;
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -160,11 +160,17 @@
   }();
   size_t parsed = 0;
   while (parsed < bytes) {
+    m_head_check.Feed({m_buffer.data() + parsed, bytes - parsed});
+    if (!m_head_check.IsValid()) {
+      Finish(ReplyEnd::kLost, "response head is not valid");
+      return;
+    }
     // The parser pauses after each message, so that a response to another
     // request is handled before the next one is parsed.
     parsed += http_parser_execute(&m_parser, &parser_settings,
                                   m_buffer.data() + parsed, bytes - parsed);
     if (m_is_message_complete) {
+      m_head_check.Reset();
       http_parser_pause(&m_parser, 0);
       const bool is_last = IsResponseToCurrentRequest();
       m_must_close |= is_last && parsed < bytes;
@@ -318,6 +324,10 @@
                                     size_t length) {
   auto* self = static_cast<ServerConnection*>(parser->data);
   auto& headers = self->m_response.m_headers;
+  // The head has been checked already, the fields after a body have not.
+  if (!std::all_of(at, at + length, IsTokenCharacter)) {
+    return 1;
+  }
   if (headers.empty() || self->m_has_value_begun) {
     headers.emplace_back();
     self->m_has_value_begun = false;
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -13,6 +13,7 @@
 
 #include "core/time_type.h"
 #include "core/vm_record_type.h"
+#include "net/http_head_check.h"
 #include "proxy/body_reservation.h"
 #include "proxy/server_reply_type.h"
 
@@ -99,6 +100,8 @@
   ReplyHandler m_handler;
   HttpResponse m_response;
   bool m_has_value_begun = false;
+  /// Of the response that is arriving.
+  HttpHeadCheck m_head_check{HttpHeadCheck::Kind::kResponse};
   TimePoint m_started{};
   size_t m_written = 0;
   bool m_is_write_done = false;
