Refuse requests whose head servers could read differently

A client's header line with a blank in its name, a folded line, and a target with a tab or a form feed were passed on to servers.

Cause: the parser's library accepts them, as it does in responses. Fields of one connection are left out by exact name, and a name with a blank is another one for us but may not be for a server.

Evidence: FieldNameIsNoToken_Request_IsRefused and TargetHoldsControlByte_Request_IsRefused failed on the code before, for "x y: v", " x: v" and a folded line, and for a tab and a form feed. Ruled out: a length hidden by a blank beside another length; those were refused before. That a server of ours is misled was not shown.

The check of heads that responses have now runs before the parser for requests too, at each listener.

--- a/src/net/http_request_parser.cc
+++ b/src/net/http_request_parser.cc
@@ -46,6 +46,13 @@
   if (m_state == State::kHeadDone) {
     m_state = State::kBody;
   }
+  if (m_state == State::kIdle || m_state == State::kHead) {
+    m_head_check.Feed(bytes);
+    if (!m_head_check.IsValid()) {
+      Fail(400);
+      return bytes.size();
+    }
+  }
   const size_t parsed = http_parser_execute(&m_parser, &ParserSettings(),
                                             bytes.data(), bytes.size());
   switch (HTTP_PARSER_ERRNO(&m_parser)) {
@@ -66,6 +73,7 @@
 
 void HttpRequestParser::Next() {
   m_state = State::kIdle;
+  m_head_check.Reset();
   m_request = HttpRequest();
   m_field_name.clear();
   m_field_value.clear();
--- a/src/net/http_request_parser.h
+++ b/src/net/http_request_parser.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/http_head_check.h"
 #include "net/http_limits_type.h"
 #include "net/http_message_type.h"
 
@@ -69,6 +70,7 @@
 
   HttpLimits m_limits;
   http_parser m_parser{};
+  HttpHeadCheck m_head_check{HttpHeadCheck::Kind::kRequest};
   State m_state = State::kIdle;
   HttpRequest m_request;
   std::string m_field_name;
--- a/tests/http_request_parser_test.cc
+++ b/tests/http_request_parser_test.cc
@@ -100,6 +100,40 @@
   cr_expect_eq(long_body.m_parser.FailureStatus(), 413);
 }
 
+// Passed on to a server, such a line could hide a second request in the body.
+Test(HttpRequestParser, FieldNameIsNoToken_Request_IsRefused) {
+  for (const char* line :
+       {"Transfer-Encoding : chunked", "Content-Length : 1", "x y: v", " x: v",
+        "\tx: v", "x\t: v", "x\x01: v", ": v", "x", "x: v\r\n fold", "x: a\x01",
+        "x: a\rb"}) {
+    ParserFixture fixture;
+    fixture.Parse("POST / HTTP/1.1\r\nHost: h\r\n" + std::string(line) +
+                  "\r\nContent-Length: 2\r\n\r\nab");
+    cr_expect_eq(fixture.m_parser.CurrentState(), State::kFailed, "%s", line);
+    cr_expect_eq(fixture.m_parser.FailureStatus(), 400, "%s", line);
+    cr_expect(fixture.m_requests.empty(), "%s", line);
+  }
+}
+
+// A server could read a different path, or another line.
+Test(HttpRequestParser, TargetHoldsControlByte_Request_IsRefused) {
+  for (const char* target : {"/a\tb", "/a\x0c", "/a\x01", "/a\x7f", "/a\rb"}) {
+    ParserFixture fixture;
+    fixture.Parse("GET " + std::string(target) +
+                  " HTTP/1.1\r\nHost: h\r\n\r\n");
+    cr_expect_eq(fixture.m_parser.CurrentState(), State::kFailed, "%s", target);
+  }
+}
+
+// Empty lines between requests belong to none of them.
+Test(HttpRequestParser, EmptyLinesBetweenRequests_Requests_AreParsed) {
+  ParserFixture fixture;
+  fixture.Parse(
+      "\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+      "\r\nGET /b HTTP/1.1\nHost: h\n\n");
+  cr_assert_eq(fixture.m_requests.size(), 2);
+}
+
 // The server does not speak other protocols; the request is an ordinary one.
 Test(HttpRequestParser, UpgradeIsOffered_Request_IsParsed) {
   ParserFixture fixture;
