--- a/tests/unruly_process_test.cc
+++ b/tests/unruly_process_test.cc
@@ -31,6 +31,17 @@
       method, target, fields);
 }
 
+/// A body with a length, in this many pieces, without its last byte.
+UnrulyScript AnnouncedBody(size_t bytes, size_t pieces) {
+  const size_t piece = (bytes - 1) / pieces;
+  return {.m_begin = Head(
+              "POST", "/read/never",
+              fmt::format("Content-Length: {}\r\n\r\n", piece * pieces + 1)),
+          .m_piece = std::string(piece, 'b'),
+          .m_pieces = pieces,
+          .m_end = "b"};
+}
+
 /// An entry VM and the clients that do not behave.
 struct UnrulyFixture {
   std::unique_ptr<EdgeVm> m_vm;
@@ -91,5 +102,16 @@
   g_fixture->ExpectServedAfterwards();
 }
 
+// Listeners without bodies kept the bodies that clients sent to them.
+Test(UnrulyClients, BodiesAtOtherListeners_Process_StaysWithinItsMemory) {
+  for (const auto listener : {Listener::kReady, Listener::kDirectory,
+                              Listener::kMetrics, Listener::kFeed}) {
+    g_fixture->Start();
+    g_fixture->Join(listener, AnnouncedBody(kMaxBodyBytes, 1), 120);
+    g_fixture->ExpectServed("beside the crowd");
+    g_fixture->ExpectServedAfterwards();
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank
