Keep descriptors for the VM and for newcomers among idle connections

Clients that connect and send nothing shut everybody else out: 512 of them, at a process with 256 descriptors, and an ordinary request got no answer in 20 tries of 10 s each. Nor did the VM get descriptors for servers and store.

Cause: nothing bounded the number of connections. At the system's limit the listener waited; idle connections end after 300 s only.

Evidence: UnrulyClients.IdleConnections_* on the code before: 256 of 256 descriptors open, no answer for 221 s. Ruled out: memory (25 MB).

At its limit it closes the connection that has made no progress for the longest time, never one whose request is being served, and takes the newcomer. A client inside the limits meets this only as the close of an idle connection. The metric connections_closed_for_others counts.

--- /dev/null
+++ b/src/net/connection_choice_func.h
@@ -0,0 +1,22 @@
+/// @file connection_choice_func.h Which connection is closed for others.
+
+#ifndef SORRELPLANK_NET_CONNECTION_CHOICE_FUNC_H_
+#define SORRELPLANK_NET_CONNECTION_CHOICE_FUNC_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "net/connection_standing_type.h"
+
+namespace sorrelplank {
+
+/// The connection without progress for the longest time; none whose request is
+/// being served. Closing the newest instead would let clients that stay
+/// connected shut everybody else out.
+std::optional<uint64_t> ChooseStalest(
+    const std::vector<ConnectionStanding>& connections);
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_NET_CONNECTION_CHOICE_FUNC_H_
--- /dev/null
+++ b/src/net/connection_standing_type.h
@@ -0,0 +1,24 @@
+/// @file connection_standing_type.h What a client's connection is doing.
+
+#ifndef SORRELPLANK_NET_CONNECTION_STANDING_TYPE_H_
+#define SORRELPLANK_NET_CONNECTION_STANDING_TYPE_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "core/time_type.h"
+
+namespace sorrelplank {
+
+/// State of a connection, from which the one to close for others is chosen.
+struct ConnectionStanding {
+  uint64_t m_id = 0;
+  /// A request that was read completely has no response yet.
+  bool m_is_serving = false;
+  /// The last progress: bytes that arrived, or a response that was written.
+  TimePoint m_since{};
+};
+
+}  // namespace sorrelplank
+
+#endif  // SORRELPLANK_NET_CONNECTION_STANDING_TYPE_H_
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -82,6 +82,7 @@
   m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   const auto remote = m_socket.remote_endpoint(ignored).address();
   m_remote_ip = remote.is_v4() ? remote.to_v4().to_uint() : 0;
+  m_progressed = SteadyNow();
   Read();
 }
 
@@ -125,6 +126,14 @@
   }
 }
 
+ConnectionStanding HttpConnection::Standing() const {
+  const size_t arriving_bodies =
+      m_is_body_arriving && !m_parser.IsDiscarding() ? 1 : 0;
+  return {.m_id = m_id,
+          .m_is_serving = m_pipeline.OpenCount() > arriving_bodies,
+          .m_since = m_progressed};
+}
+
 void HttpConnection::Read() {
   if (m_is_reading || m_is_closed) {
     return;
@@ -150,6 +159,7 @@
 void HttpConnection::OnRead(size_t bytes) {
   m_parsed = 0;
   m_filled = bytes;
+  m_progressed = SteadyNow();
   Consume();
 }
 
@@ -337,6 +347,7 @@
 
 void HttpConnection::OnWritten(bool is_failed) {
   m_outgoing.clear();
+  m_progressed = SteadyNow();
   if (m_is_closed) {
     return;
   }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/time_type.h"
+#include "net/connection_standing_type.h"
 #include "net/http_message_type.h"
 #include "net/http_request_parser.h"
 #include "net/response_pipeline.h"
@@ -37,6 +38,7 @@
   void Close();
   /// Closes the connection if it has made no progress for too long.
   void CloseIfOverdue(TimePoint now);
+  ConnectionStanding Standing() const;
 
  private:
   void Read();
@@ -90,6 +92,8 @@
   bool m_is_closed = false;
   /// Beginning of the read or write under way, and of lingering.
   TimePoint m_read_began{};
+  /// When the last bytes arrived, or a response was written.
+  TimePoint m_progressed{};
   /// When the last head was complete.
   TimePoint m_body_began{};
   TimePoint m_write_began{};
--- a/src/net/http_limits_type.h
+++ b/src/net/http_limits_type.h
@@ -4,15 +4,21 @@
 #define SORRELPLANK_NET_HTTP_LIMITS_TYPE_H_
 
 #include <cstddef>
+#include <cstdint>
 
 namespace sorrelplank {
 
-/// Limits on what a client can make the server hold in memory.
+/// Limits on what one client can make the server hold in memory.
 struct HttpLimits {
   size_t m_max_body_bytes = 1U << 20U;
   size_t m_max_field_bytes = 8192;
 };
 
+/// Limits on what all clients of a server together can make it hold.
+struct HttpCapacity {
+  size_t m_max_connections = SIZE_MAX;
+};
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_NET_HTTP_LIMITS_TYPE_H_
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/time_type.h"
+#include "net/connection_choice_func.h"
 #include "net/http_connection.h"
 #include "net/http_server_context.h"
 #include "serve/clock_func.h"
@@ -68,6 +69,10 @@
     m_context->m_admit_body = std::move(admission);
   }
 
+  void SetCapacity(const HttpCapacity& capacity) {
+    m_context->m_capacity = capacity;
+  }
+
   void Stop() {
     m_is_stopping = true;
     AfterReading([this] {
@@ -86,6 +91,8 @@
                     std::move(then));
   }
 
+  size_t ClosedForOthers() const { return m_context->m_closed_for_others; }
+
   size_t UnwrittenResponses() const {
     return *m_context->m_unwritten_responses;
   }
@@ -129,6 +136,7 @@
       const uint64_t id = m_next_connection++;
       const auto connection =
           std::make_shared<HttpConnection>(std::move(socket), id, m_context);
+      MakeRoom();
       m_context->m_connections.emplace(id, connection);
       connection->Start();
       if (m_acceptor.is_open()) {
@@ -137,6 +145,34 @@
     });
   }
 
+  std::vector<ConnectionStanding> Standings() const {
+    std::vector<ConnectionStanding> standings;
+    standings.reserve(m_context->m_connections.size());
+    for (const auto& [id, connection] : m_context->m_connections) {
+      standings.push_back(connection->Standing());
+    }
+    return standings;
+  }
+
+  /// Closes a connection, so that a new one can be kept.
+  void MakeRoom() {
+    if (m_context->m_connections.size() <
+        m_context->m_capacity.m_max_connections) {
+      return;
+    }
+    if (const auto stalest = ChooseStalest(Standings())) {
+      CloseConnection(*stalest);
+    }
+  }
+
+  void CloseConnection(uint64_t id) {
+    // A copy, because the connection removes itself from the map.
+    ++m_context->m_closed_for_others;
+    const std::shared_ptr<HttpConnection> connection =
+        m_context->m_connections.at(id);
+    connection->Close();
+  }
+
   void AcceptLater() {
     m_accept_timer.expires_after(kAcceptPause);
     m_accept_timer.async_wait([this](std::error_code error) {
@@ -215,6 +251,14 @@
   m_impl->SetBodyAdmission(std::move(admission));
 }
 
+void HttpServer::SetCapacity(const HttpCapacity& capacity) {
+  m_impl->SetCapacity(capacity);
+}
+
+size_t HttpServer::ClosedForOthers() const {
+  return m_impl->ClosedForOthers();
+}
+
 void HttpServer::Stop() {
   m_impl->Stop();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -49,6 +49,13 @@
   /// Without one, all bodies within the limits are read.
   void SetBodyAdmission(BodyAdmission admission);
 
+  /// Bounds what all connections hold. To keep a bound, connections are closed
+  /// that have made no progress for the longest time.
+  void SetCapacity(const HttpCapacity& capacity);
+
+  /// Number of connections closed to keep it.
+  size_t ClosedForOthers() const;
+
   /// Stops accepting connections, once those that the kernel has accepted have
   /// been taken over; closing the socket would reset them.
   void Stop();
--- a/src/net/http_server_context.h
+++ b/src/net/http_server_context.h
@@ -20,12 +20,15 @@
 /// Outlives the server in connections and callbacks that have not ended.
 struct HttpServerContext {
   HttpLimits m_limits;
+  HttpCapacity m_capacity;
   std::function<void(HttpRequest, HttpReply)> m_handler;
   /// May be empty.
   std::function<void(uint64_t connection)> m_on_closed;
   std::function<std::optional<HttpResponse>(HttpRequest&, size_t)>
       m_admit_body = [](HttpRequest&, size_t) { return std::nullopt; };
   std::unordered_map<uint64_t, std::shared_ptr<HttpConnection>> m_connections;
+  /// Connections closed to keep within the capacity.
+  size_t m_closed_for_others = 0;
   /// Connections accepted and requests read.
   size_t m_arrivals = 0;
   /// Responses that are not written completely.
--- a/src/proxy/edge_settings.cc
+++ b/src/proxy/edge_settings.cc
@@ -152,6 +152,14 @@
                              kBytesPerMb);
 }
 
+/// This setting is absent, or null, if only the system limits descriptors.
+size_t ReadDescriptors(const SettingsReader& reader) {
+  if (!reader.HasValue("max_descriptors")) {
+    return 0;
+  }
+  return static_cast<size_t>(reader.Number("max_descriptors", 1, kMaxCount));
+}
+
 SteeringSettings ReadSteering(const SettingsReader& reader) {
   return SteeringSettings{
       .m_vm = reader.Text("vm"),
@@ -186,6 +194,7 @@
       .m_steering = ReadSteering(reader),
       .m_capacity = ReadCapacity(reader),
       .m_memory_bytes = ReadMemory(reader),
+      .m_max_descriptors = ReadDescriptors(reader),
       .m_client_address = reader.Address("client_address"),
       .m_ready_address = reader.Address("ready_address"),
       .m_directory_address = reader.Address("directory_address"),
--- a/src/proxy/edge_settings_type.h
+++ b/src/proxy/edge_settings_type.h
@@ -21,6 +21,8 @@
   VmCapacity m_capacity{};
   /// Memory of this VM; zero means unknown.
   size_t m_memory_bytes = 0;
+  /// Descriptors that the process may open; zero means the system's limit.
+  size_t m_max_descriptors = 0;
   /// Listening address for client requests.
   VmAddress m_client_address;
   /// Listening address for the platform's readiness checks.
--- a/src/proxy/proxy_metrics.cc
+++ b/src/proxy/proxy_metrics.cc
@@ -138,6 +138,8 @@
   m_impl->Set("table_version", gauges.m_table_version);
   m_impl->Set("store_age_seconds", gauges.m_store_age_s);
   m_impl->Set("connections_opened", gauges.m_connections_opened);
+  m_impl->Set("connections_closed_for_others",
+              gauges.m_connections_closed_for_others);
   m_impl->Set("log_lines_dropped", gauges.m_log_lines_dropped);
   m_impl->Set("body_bytes", gauges.m_body_bytes);
   m_impl->Set("body_bytes_bound", gauges.m_body_bytes_bound);
--- a/src/proxy/proxy_metrics.h
+++ b/src/proxy/proxy_metrics.h
@@ -26,6 +26,8 @@
   double m_table_version = 0;
   double m_store_age_s = 0;
   double m_connections_opened = 0;
+  /// Accepted connections that were closed so that others can be kept.
+  double m_connections_closed_for_others = 0;
   double m_log_lines_dropped = 0;
   /// Bytes held for open requests and unwritten responses, and their bound; a
   /// bound of zero means none.
--- /dev/null
+++ b/tests/connection_choice_test.cc
@@ -0,0 +1,31 @@
+/// @file connection_choice_test.cc Which connection is closed for others.
+
+#include "net/connection_choice_func.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+namespace sorrelplank {
+namespace {
+
+ConnectionStanding At(uint64_t id, int second) {
+  return {.m_id = id, .m_since = TimePoint(seconds(second))};
+}
+
+// A newcomer was turned away while connections without progress stayed.
+Test(ConnectionChoice, SeveralConnections_Stalest_IsChosen) {
+  cr_expect_eq(ChooseStalest({At(1, 5), At(2, 3), At(3, 9)}).value_or(0), 2);
+}
+
+// A request that a server runs must not be cut off for a newcomer.
+Test(ConnectionChoice, RequestIsServed_Connection_IsNeverChosen) {
+  ConnectionStanding serving = At(1, 1);
+  serving.m_is_serving = true;
+  cr_expect_eq(ChooseStalest({serving, At(2, 3)}).value_or(0), 2);
+  cr_expect_not(ChooseStalest({serving}).has_value());
+  cr_expect_not(ChooseStalest({}).has_value());
+}
+
+}  // namespace
+}  // namespace sorrelplank
--- a/tests/unruly_process_test.cc
+++ b/tests/unruly_process_test.cc
@@ -19,6 +19,7 @@
 
 constexpr size_t kMemoryMb = 96;
 constexpr size_t kBytesPerMb = 1'000'000;
+constexpr size_t kDescriptors = 256;
 constexpr size_t kMaxBodyBytes = 1U << 20U;
 constexpr size_t kMaxHeadBytes = 16U << 10U;
 
@@ -113,5 +114,17 @@
   }
 }
 
+// Connections that send nothing took all descriptors, and nobody else got one.
+Test(UnrulyClients, IdleConnections_OrdinaryRequest_IsServedBesideThem) {
+  for (const auto listener :
+       {Listener::kClients, Listener::kReady, Listener::kDirectory,
+        Listener::kMetrics, Listener::kFeed, Listener::kPeers}) {
+    g_fixture->Start(kDescriptors);
+    g_fixture->Join(listener, {}, 2 * kDescriptors);
+    cr_assert(g_fixture->m_vm->IsRequestServed());
+    g_fixture->ExpectSound(kDescriptors);
+  }
+}
+
 }  // namespace
 }  // namespace sorrelplank
