Bound the memory of heads that are not complete

1,200 clients that stop within a head of 60 KB took a VM of 96 MB to 145 MB.

Cause: the account of memory is asked when a head is complete. Until then up to 80 KB a connection were held and counted by nobody.

At the directory's port the limit of 8 KiB a field ends them with 431; the test covers both.

Each listener counts the bytes of arriving heads, twice, since the buffers of their parts double as they grow. Beyond its share it closes the connection whose head has been arriving for the longest time, so that a newcomer's single packet is read.

--- a/src/net/connection_choice.cc
+++ b/src/net/connection_choice.cc
@@ -31,4 +31,11 @@
   });
 }
 
+std::optional<uint64_t> ChooseOldestHead(
+    const std::vector<ConnectionStanding>& connections) {
+  return ChooseLongest(connections, [](const ConnectionStanding& connection) {
+    return connection.m_head_bytes > 0;
+  });
+}
+
 }  // namespace sorrelplank
--- a/src/net/connection_choice_func.h
+++ b/src/net/connection_choice_func.h
@@ -17,6 +17,10 @@
 std::optional<uint64_t> ChooseStalest(
     const std::vector<ConnectionStanding>& connections);
 
+/// The connection whose head has been arriving for the longest time.
+std::optional<uint64_t> ChooseOldestHead(
+    const std::vector<ConnectionStanding>& connections);
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_NET_CONNECTION_CHOICE_FUNC_H_
--- a/src/net/connection_standing_type.h
+++ b/src/net/connection_standing_type.h
@@ -15,8 +15,11 @@
   uint64_t m_id = 0;
   /// A request that was read completely has no response yet.
   bool m_is_serving = false;
-  /// The last progress: bytes that arrived, or a response that was written.
+  /// Beginning of the head that is arriving; else the last progress of a body,
+  /// a response or, between requests, either.
   TimePoint m_since{};
+  /// Bytes of the head that is arriving.
+  size_t m_head_bytes = 0;
 };
 
 }  // namespace sorrelplank
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -37,6 +37,9 @@
 /// A refused body up to this size is read and dropped, so that the client can
 /// keep its connection; a larger one closes it.
 constexpr uint64_t kMaxDroppedBodyBytes = 64U << 10U;
+/// Memory of a head that is arriving, as a multiple of its bytes: the buffers
+/// of its parts double as they grow.
+constexpr size_t kHeadMemoryFactor = 2;
 
 HttpResponse ErrorResponse(int status, std::string body) {
   HttpResponse response;
@@ -91,6 +94,7 @@
     return;
   }
   m_is_closed = true;
+  m_context->m_head_bytes -= std::exchange(m_head_bytes, 0);
   const auto self = shared_from_this();
   std::error_code ignored;
   m_socket.close(ignored);
@@ -127,11 +131,14 @@
 }
 
 ConnectionStanding HttpConnection::Standing() const {
+  const bool is_head_arriving =
+      m_parser.CurrentState() == HttpRequestParser::State::kHead;
   const size_t arriving_bodies =
       m_is_body_arriving && !m_parser.IsDiscarding() ? 1 : 0;
   return {.m_id = m_id,
           .m_is_serving = m_pipeline.OpenCount() > arriving_bodies,
-          .m_since = m_progressed};
+          .m_since = is_head_arriving ? m_head_began : m_progressed,
+          .m_head_bytes = m_head_bytes};
 }
 
 void HttpConnection::Read() {
@@ -203,12 +210,30 @@
   if (m_is_closed) {
     return;
   }
+  CountHead();
+  if (m_is_closed) {
+    return;
+  }
   const bool is_dropping = !MayParse() && !m_pipeline.MayReadMore();
   if (m_parsed == m_filled || is_dropping) {
     Read();
   }
 }
 
+void HttpConnection::CountHead() {
+  const bool is_arriving =
+      m_parser.CurrentState() == HttpRequestParser::State::kHead;
+  const size_t before = m_head_bytes;
+  m_head_bytes = is_arriving ? kHeadMemoryFactor * m_parser.HeadBytes() : 0;
+  m_context->m_head_bytes += m_head_bytes - before;
+  if (is_arriving && before == 0) {
+    m_head_began = m_progressed;
+  }
+  if (m_head_bytes > before) {
+    m_context->m_on_heads_grown();
+  }
+}
+
 void HttpConnection::OnHead() {
   m_number = m_pipeline.AddRequest();
   m_is_body_arriving = true;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -46,6 +46,8 @@
   /// Parses the bytes that were read, as far as requests may be accepted.
   void Consume();
   bool MayParse() const;
+  /// Counts the memory of the head that is arriving.
+  void CountHead();
   void OnHead();
   /// Asks whether the body may be read, and refuses it if not.
   void AdmitBody(size_t bytes);
@@ -83,6 +85,8 @@
   /// That request is not complete.
   bool m_is_body_arriving = false;
   std::array<char, kBufferBytes> m_buffer{};
+  /// Memory of the head that is arriving, as counted by the server.
+  size_t m_head_bytes = 0;
   size_t m_filled = 0;
   size_t m_parsed = 0;
   std::vector<Outgoing> m_outgoing;
@@ -94,6 +98,8 @@
   TimePoint m_read_began{};
   /// When the last bytes arrived, or a response was written.
   TimePoint m_progressed{};
+  /// When the first bytes of the head that is arriving came.
+  TimePoint m_head_began{};
   /// When the last head was complete.
   TimePoint m_body_began{};
   TimePoint m_write_began{};
--- a/src/net/http_limits_type.h
+++ b/src/net/http_limits_type.h
@@ -17,6 +17,8 @@
 /// Limits on what all clients of a server together can make it hold.
 struct HttpCapacity {
   size_t m_max_connections = SIZE_MAX;
+  /// Memory of heads that are not complete.
+  size_t m_max_head_bytes = SIZE_MAX;
 };
 
 }  // namespace sorrelplank
--- a/src/net/http_request_parser.cc
+++ b/src/net/http_request_parser.cc
@@ -55,6 +55,7 @@
   }
   const size_t parsed = http_parser_execute(&m_parser, &ParserSettings(),
                                             bytes.data(), bytes.size());
+  m_head_bytes += m_state == State::kHead ? parsed : 0;
   switch (HTTP_PARSER_ERRNO(&m_parser)) {
     case HPE_OK:
       break;
@@ -79,6 +80,7 @@
   m_field_value.clear();
   m_has_value_begun = false;
   m_field_count = 0;
+  m_head_bytes = 0;
   m_is_discarding = false;
 }
 
--- a/src/net/http_request_parser.h
+++ b/src/net/http_request_parser.h
@@ -42,6 +42,8 @@
   void Next();
 
   State CurrentState() const { return m_state; }
+  /// Bytes of the head parsed so far.
+  size_t HeadBytes() const { return m_head_bytes; }
   HttpRequest& Request() { return m_request; }
   /// Whether a body follows the head.
   bool HasBody() const { return m_has_body; }
@@ -77,6 +79,7 @@
   std::string m_field_value;
   bool m_has_value_begun = false;
   size_t m_field_count = 0;
+  size_t m_head_bytes = 0;
   bool m_has_body = false;
   std::optional<uint64_t> m_body_length;
   bool m_keeps_alive = true;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -49,12 +49,14 @@
     m_context->m_limits = limits;
     m_context->m_handler = std::move(handler);
     m_context->m_on_closed = std::move(closed);
+    m_context->m_on_heads_grown = [this] { CloseOldestHeads(); };
     Open();
     Sweep();
   }
 
   ~Impl() {
     m_context->m_on_closed = nullptr;
+    m_context->m_on_heads_grown = [] {};
     const auto connections = std::move(m_context->m_connections);
     m_context->m_connections.clear();
     for (const auto& [id, connection] : connections) {
@@ -165,6 +167,16 @@
     }
   }
 
+  void CloseOldestHeads() {
+    while (m_context->m_head_bytes > m_context->m_capacity.m_max_head_bytes) {
+      const auto oldest = ChooseOldestHead(Standings());
+      if (!oldest) {
+        return;
+      }
+      CloseConnection(*oldest);
+    }
+  }
+
   void CloseConnection(uint64_t id) {
     // A copy, because the connection removes itself from the map.
     ++m_context->m_closed_for_others;
--- a/src/net/http_server_context.h
+++ b/src/net/http_server_context.h
@@ -27,6 +27,11 @@
   std::function<std::optional<HttpResponse>(HttpRequest&, size_t)>
       m_admit_body = [](HttpRequest&, size_t) { return std::nullopt; };
   std::unordered_map<uint64_t, std::shared_ptr<HttpConnection>> m_connections;
+  /// Closes connections whose heads have arrived for the longest time, until
+  /// the others fit.
+  std::function<void()> m_on_heads_grown = [] {};
+  /// Memory of heads that are arriving, on all connections.
+  size_t m_head_bytes = 0;
   /// Connections closed to keep within the capacity.
   size_t m_closed_for_others = 0;
   /// Connections accepted and requests read.
--- a/src/proxy/listener_capacity.cc
+++ b/src/proxy/listener_capacity.cc
@@ -17,12 +17,17 @@
   double m_descriptors;
   /// For connections without their requests.
   double m_connection_memory;
+  /// For heads that are not complete.
+  double m_head_memory;
 };
 
 constexpr ListenerShare kShares[] = {
-    {Listener::kClients, 0.5, 0.16},   {Listener::kDirectory, 0.125, 0.04},
-    {Listener::kPeers, 0.0625, 0.02},  {Listener::kFeed, 0.0625, 0.02},
-    {Listener::kReady, 0.0156, 0.005}, {Listener::kMetrics, 0.0156, 0.005},
+    {Listener::kClients, 0.5, 0.16, 0.04},
+    {Listener::kDirectory, 0.125, 0.04, 0.01},
+    {Listener::kPeers, 0.0625, 0.02, 0.01},
+    {Listener::kFeed, 0.0625, 0.02, 0.01},
+    {Listener::kReady, 0.0156, 0.005, 0.005},
+    {Listener::kMetrics, 0.0156, 0.005, 0.005},
 };
 
 /// Memory of a connection: its buffer, its parser, and what the kernel holds
@@ -48,6 +53,8 @@
         std::min(capacity.m_max_connections,
                  Part(limits.m_memory_bytes, share.m_connection_memory) /
                      kConnectionBytes);
+    capacity.m_max_head_bytes =
+        Part(limits.m_memory_bytes, share.m_head_memory);
   }
   capacity.m_max_connections =
       std::max(capacity.m_max_connections, kMinConnections);
--- a/tests/connection_choice_test.cc
+++ b/tests/connection_choice_test.cc
@@ -27,5 +27,15 @@
   cr_expect_not(ChooseStalest({}).has_value());
 }
 
+// Heads that arrive without end were kept, and whole requests were closed.
+Test(ConnectionChoice, HeadsArrive_OldestHead_IsChosen) {
+  ConnectionStanding older = At(1, 2);
+  older.m_head_bytes = 10;
+  ConnectionStanding newer = At(2, 4);
+  newer.m_head_bytes = 1000;
+  cr_expect_eq(ChooseOldestHead({At(3, 1), newer, older}).value_or(0), 1);
+  cr_expect_not(ChooseOldestHead({At(3, 1)}).has_value());
+}
+
 }  // namespace
 }  // namespace sorrelplank
--- a/tests/listener_capacity_test.cc
+++ b/tests/listener_capacity_test.cc
@@ -26,6 +26,13 @@
 // Connections that send nothing took the memory that requests need.
 Test(ListenerCapacity, AllListenersAreFull_Memory_IsLeftForRequests) {
   constexpr size_t kMemory = 160'000'000;
+  size_t heads = 0;
+  for (const Listener listener : kListeners) {
+    heads += CapacityOf(listener,
+                        {.m_descriptors = 100'000, .m_memory_bytes = kMemory})
+                 .m_max_head_bytes;
+  }
+  cr_expect_leq(heads, kMemory / 10);
   cr_expect_leq(CapacityOf(Listener::kClients, {.m_descriptors = 100'000,
                                                 .m_memory_bytes = kMemory})
                     .m_max_connections,
--- a/tests/unruly_process_test.cc
+++ b/tests/unruly_process_test.cc
@@ -114,6 +114,22 @@
   }
 }
 
+// Heads that were never completed were not counted.
+Test(UnrulyClients, HeadsStopShort_Process_StaysWithinItsMemory) {
+  for (const auto listener : {Listener::kClients, Listener::kDirectory}) {
+    g_fixture->Start();
+    g_fixture->Join(
+        listener,
+        {.m_begin =
+             Head("GET", "/read/x",
+                  fmt::format("a: {}\r\nb: {}\r\nc:", std::string(30000, 'v'),
+                              std::string(30000, 'w')))},
+        1200);
+    g_fixture->ExpectServed("beside the crowd");
+    g_fixture->ExpectServedAfterwards();
+  }
+}
+
 // Connections that send nothing took all descriptors, and nobody else got one.
 Test(UnrulyClients, IdleConnections_OrdinaryRequest_IsServedBesideThem) {
   for (const auto listener :
