Keep bodies that arrive in pieces from breaking up the heap

Clients that send bodies in chunks and stop short of the end took a VM of 96 MB to 111 MB: 500 of them, 240 KB each in chunks of 4,000 bytes. This is the crowd that ended a process of the users.

Cause: a body without a length grows by a quarter at a time. Where hundreds grow side by side, each step leaves a gap in the heap that the next size does not fit into, up to four times what is in use; the account counted the bytes in the buffers only.

Ruled out: a body with a length, which has one buffer, in one piece or 128 (52,477,952). A threshold of 64 KiB for mapped buffers alone gave 99,659,776 bytes (one run): the bodies were smaller than that when they were refused.

Now a growing buffer leaves the heap at 4 KiB for one of 32 KiB with pages of its own, which the system gets back. The account is asked with the buffer's capacity. Responses grow in the same way.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -265,7 +265,7 @@
 
 void HttpConnection::AdmitGrownBody() {
   if (!m_parser.IsDiscarding() && !m_parser.BodyLength()) {
-    AdmitBody(m_parser.Request().m_body.size());
+    AdmitBody(m_parser.Request().m_body.capacity());
   }
 }
 
--- a/src/net/http_request_parser.cc
+++ b/src/net/http_request_parser.cc
@@ -6,14 +6,14 @@
 #include <limits>
 #include <utility>
 
+#include "net/heap_func.h"
+
 namespace sorrelplank {
 
 namespace {
 
 constexpr size_t kMaxFieldCount = 100;
 constexpr size_t kMaxFieldNameBytes = 1024;
-/// The buffer of a body without a length grows by one part in this many.
-constexpr size_t kBodyGrowthDivisor = 4;
 
 HttpRequestParser& Self(http_parser* parser) {
   return *static_cast<HttpRequestParser*>(parser->data);
@@ -189,7 +189,7 @@
     return self.Fail(413);
   }
   if (size > body.capacity()) {
-    body.reserve(size + size / kBodyGrowthDivisor);
+    body.reserve(GrownCapacity(size));
   }
   body.append(at, length);
   return 0;
--- a/src/proxy/server_connection.cc
+++ b/src/proxy/server_connection.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "net/heap_func.h"
 #include "serve/clock_func.h"
 
 namespace sorrelplank {
@@ -30,8 +31,6 @@
 /// besides: chunk sizes, heads, and late responses.
 constexpr size_t kReceivedBytesFactor = 2;
 constexpr size_t kReceivedHeadBytes = size_t{128} * 1024;
-/// The buffer of a body grows by one part in this many.
-constexpr size_t kBodyGrowthDivisor = 4;
 
 }  // namespace
 
@@ -360,8 +359,7 @@
     return 1;
   }
   if (body.capacity() - body.size() < length) {
-    // Growing by half or more would hold much memory that is not used.
-    body.reserve(body.size() + length + body.size() / kBodyGrowthDivisor);
+    body.reserve(GrownCapacity(body.size() + length));
   }
   body.append(at, length);
   self->m_request.m_held.Grow(length);
--- a/tests/unruly_process_test.cc
+++ b/tests/unruly_process_test.cc
@@ -22,6 +22,8 @@
 constexpr size_t kDescriptors = 256;
 constexpr size_t kMaxBodyBytes = 1U << 20U;
 constexpr size_t kMaxHeadBytes = 16U << 10U;
+/// Bodies below this size are small for the VM.
+constexpr size_t kSmallBodyBytes = 16000;
 
 std::string Head(const std::string& method,
                  const std::string& target,
@@ -32,6 +34,19 @@
       method, target, fields);
 }
 
+std::string Chunk(size_t bytes) {
+  return fmt::format("{:x}\r\n{}\r\n", bytes, std::string(bytes, 'c'));
+}
+
+std::string Repeat(const std::string& text, size_t times) {
+  std::string all;
+  all.reserve(text.size() * times);
+  for (size_t time = 0; time < times; ++time) {
+    all += text;
+  }
+  return all;
+}
+
 /// A body with a length, in this many pieces, without its last byte.
 UnrulyScript AnnouncedBody(size_t bytes, size_t pieces) {
   const size_t piece = (bytes - 1) / pieces;
@@ -43,6 +58,15 @@
           .m_end = "b"};
 }
 
+/// A body in chunks, without its last line.
+UnrulyScript ChunkedBody(const std::string& piece, size_t pieces) {
+  return {.m_begin =
+              Head("POST", "/read/never", "Transfer-Encoding: chunked\r\n\r\n"),
+          .m_piece = piece,
+          .m_pieces = pieces,
+          .m_end = "0\r\n\r\n"};
+}
+
 /// An entry VM and the clients that do not behave.
 struct UnrulyFixture {
   std::unique_ptr<EdgeVm> m_vm;
@@ -130,6 +154,37 @@
   }
 }
 
+// Bodies took more memory than their bytes: buffers that grow, and copies.
+Test(UnrulyClients, BodiesStopShort_Process_StaysWithinItsMemory) {
+  struct Crowd {
+    UnrulyScript m_script;
+    size_t m_clients;
+  };
+  const Crowd crowds[] = {{AnnouncedBody(kMaxBodyBytes, 1), 120},
+                          {AnnouncedBody(kMaxBodyBytes, 128), 120},
+                          {ChunkedBody(Chunk(60000), 17), 120},
+                          {ChunkedBody(Chunk(4000), 60), 500},
+                          {ChunkedBody(Chunk(500), 1900), 120},
+                          {ChunkedBody(Repeat(Chunk(1), 1000), 300), 120}};
+  for (const Crowd& crowd : crowds) {
+    g_fixture->Start();
+    g_fixture->Join(Listener::kClients, crowd.m_script, crowd.m_clients);
+    g_fixture->ExpectServed("beside the crowd");
+    g_fixture->ExpectServedAfterwards();
+  }
+}
+
+// The same for many small bodies, of which each is far below any limit.
+Test(UnrulyClients, SmallBodiesStopShort_Process_StaysWithinItsMemory) {
+  g_fixture->Start();
+  g_fixture->Join(Listener::kClients,
+                  ChunkedBody(Repeat(Chunk(10), kSmallBodyBytes / 1000), 100),
+                  1500);
+  g_fixture->Join(Listener::kClients, ChunkedBody(Chunk(10), 20), 1500);
+  g_fixture->ExpectServed("beside the crowd");
+  g_fixture->ExpectServedAfterwards();
+}
+
 // Connections that send nothing took all descriptors, and nobody else got one.
 Test(UnrulyClients, IdleConnections_OrdinaryRequest_IsServedBesideThem) {
   for (const auto listener :
