End bodies that stall if another request needs their memory

Ordinary uploads were refused for up to a minute beside clients that stop just short of the end of their bodies: with 120 of 1 MiB on a VM of 96 MB, 20 of 20 tries of one caller.

Cause: a body is counted by its whole length from its head on, and what does not fit beside it is refused. A client that stays silent kept the memory for 30 s, one that sends a byte now and then for 60 s.

Evidence: UnrulyClients.BodiesStopShort_OrdinaryUpload_* on and on: not served in 21 s. Ruled out: the process (46,120,960 bytes), and requests without a body, which were served beside the same crowd.

A request that does not fit first ends bodies that have not grown by 4 KiB for 3 s, the longest pause first; they get 408, as none has run. Small requests ask as well, since small bodies can fill their part of the account. In calm a slow body keeps its time. After: served beside the crowd.

ConnectionChoice BodiesStall_* tests the choice (new with it). That single bytes do not count as progress has no test of its own.

--- a/src/net/connection_choice.cc
+++ b/src/net/connection_choice.cc
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// How long a body may make no progress while others need its memory. Without
+/// that need, the limits of HttpConnection apply.
+constexpr Duration kMaxBodyPauseForOthers = seconds(3);
+
 /// The longest standing connection for which the condition holds.
 template <typename Condition>
 std::optional<uint64_t> ChooseLongest(
@@ -38,4 +42,14 @@
   });
 }
 
+std::optional<uint64_t> ChooseStalledBody(
+    const std::vector<ConnectionStanding>& connections,
+    TimePoint now) {
+  return ChooseLongest(
+      connections, [now](const ConnectionStanding& connection) {
+        return connection.m_is_body_arriving &&
+               now - connection.m_since > kMaxBodyPauseForOthers;
+      });
+}
+
 }  // namespace sorrelplank
--- a/src/net/connection_choice_func.h
+++ b/src/net/connection_choice_func.h
@@ -21,6 +21,12 @@
 std::optional<uint64_t> ChooseOldestHead(
     const std::vector<ConnectionStanding>& connections);
 
+/// The connection whose body has made no progress for the longest time, if that
+/// is long enough to end it for others.
+std::optional<uint64_t> ChooseStalledBody(
+    const std::vector<ConnectionStanding>& connections,
+    TimePoint now);
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_NET_CONNECTION_CHOICE_FUNC_H_
--- a/src/net/connection_standing_type.h
+++ b/src/net/connection_standing_type.h
@@ -18,6 +18,8 @@
   /// Beginning of the head that is arriving; else the last progress of a body,
   /// a response or, between requests, either.
   TimePoint m_since{};
+  /// A body is arriving and is kept.
+  bool m_is_body_arriving = false;
   /// Bytes of the head that is arriving.
   size_t m_head_bytes = 0;
 };
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -37,6 +37,9 @@
 /// A refused body up to this size is read and dropped, so that the client can
 /// keep its connection; a larger one closes it.
 constexpr uint64_t kMaxDroppedBodyBytes = 64U << 10U;
+/// A body that grows by less has made no progress, so that single bytes do not
+/// keep its memory from others.
+constexpr size_t kMinBodyProgress = 4096;
 /// Memory of a head that is arriving, as a multiple of its bytes: the buffers
 /// of its parts double as they grow.
 constexpr size_t kHeadMemoryFactor = 2;
@@ -113,7 +116,7 @@
       m_is_body_arriving && !m_parser.IsDiscarding() &&
       (pause > kMaxRequestPause || now - m_body_began > kMaxBodyTime);
   if (is_body_overdue) {
-    OnBodyOverdue(now);
+    EndBody(now);
     return;
   }
   const bool is_read_overdue =
@@ -133,11 +136,19 @@
 ConnectionStanding HttpConnection::Standing() const {
   const bool is_head_arriving =
       m_parser.CurrentState() == HttpRequestParser::State::kHead;
-  const size_t arriving_bodies =
-      m_is_body_arriving && !m_parser.IsDiscarding() ? 1 : 0;
+  const bool is_body_arriving = m_is_body_arriving && !m_parser.IsDiscarding();
+  const size_t arriving_bodies = is_body_arriving ? 1 : 0;
+  TimePoint since = m_progressed;
+  if (is_head_arriving) {
+    since = m_head_began;
+  } else if (is_body_arriving) {
+    since = m_body_progressed;
+  }
   return {.m_id = m_id,
           .m_is_serving = m_pipeline.OpenCount() > arriving_bodies,
-          .m_since = is_head_arriving ? m_head_began : m_progressed,
+          .m_since = since,
+          // A body that is growing asks for memory itself.
+          .m_is_body_arriving = is_body_arriving && !m_is_consuming,
           .m_head_bytes = m_head_bytes};
 }
 
@@ -195,6 +206,7 @@
         OnHead();
         break;
       case HttpRequestParser::State::kBody:
+        NoteBodyProgress();
         AdmitGrownBody();
         break;
       case HttpRequestParser::State::kComplete:
@@ -248,6 +260,8 @@
     return;
   }
   m_body_began = SteadyNow();
+  m_body_progressed = m_body_began;
+  m_body_size = 0;
   m_parser.Request().m_connection = m_id;
   if (m_parser.HasBody()) {
     AdmitBody(length.value_or(0));
@@ -263,13 +277,21 @@
   }
 }
 
+void HttpConnection::NoteBodyProgress() {
+  const size_t size = m_parser.Request().m_body.size();
+  if (size >= m_body_size + kMinBodyProgress) {
+    m_body_progressed = m_progressed;
+    m_body_size = size;
+  }
+}
+
 void HttpConnection::AdmitGrownBody() {
   if (!m_parser.IsDiscarding() && !m_parser.BodyLength()) {
     AdmitBody(m_parser.Request().m_body.capacity());
   }
 }
 
-void HttpConnection::OnBodyOverdue(TimePoint now) {
+void HttpConnection::EndBody(TimePoint now) {
   // The pause begins anew, so that the response can be written.
   m_read_began = now;
   HttpResponse refusal =
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -39,6 +39,8 @@
   /// Closes the connection if it has made no progress for too long.
   void CloseIfOverdue(TimePoint now);
   ConnectionStanding Standing() const;
+  /// Ends the body that is arriving, and answers that the request has not run.
+  void EndBody(TimePoint now);
 
  private:
   void Read();
@@ -48,13 +50,13 @@
   bool MayParse() const;
   /// Counts the memory of the head that is arriving.
   void CountHead();
+  /// Notes that the body has grown.
+  void NoteBodyProgress();
   void OnHead();
   /// Asks whether the body may be read, and refuses it if not.
   void AdmitBody(size_t bytes);
   /// The same for more of a body without a length.
   void AdmitGrownBody();
-  /// The body has not arrived in time.
-  void OnBodyOverdue(TimePoint now);
   void OnRequest();
   void OnParseFailure();
   /// Refuses the request whose body is arriving, and drops the body.
@@ -102,6 +104,9 @@
   TimePoint m_head_began{};
   /// When the last head was complete.
   TimePoint m_body_began{};
+  /// When the body had last grown by kMinBodyProgress, and its size then.
+  TimePoint m_body_progressed{};
+  size_t m_body_size = 0;
   TimePoint m_write_began{};
   TimePoint m_linger_began{};
 };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -30,6 +30,8 @@
 /// Pause after a connection could not be accepted, which mostly means that the
 /// process has no descriptor left.
 constexpr Duration kAcceptPause = milliseconds(50);
+/// Pause after no stalled body was found, since each refused request asks.
+constexpr Duration kStallSearchInterval = milliseconds(100);
 
 }  // namespace
 
@@ -93,6 +95,22 @@
                     std::move(then));
   }
 
+  bool EndStalledBody() {
+    const TimePoint now = SteadyNow();
+    if (now < m_next_stall_search) {
+      return false;
+    }
+    const auto stalled = ChooseStalledBody(Standings(), now);
+    if (!stalled) {
+      m_next_stall_search = now + kStallSearchInterval;
+      return false;
+    }
+    const std::shared_ptr<HttpConnection> connection =
+        m_context->m_connections.at(*stalled);
+    connection->EndBody(now);
+    return true;
+  }
+
   size_t ClosedForOthers() const { return m_context->m_closed_for_others; }
 
   size_t UnwrittenResponses() const {
@@ -239,6 +257,7 @@
   std::shared_ptr<HttpServerContext> m_context =
       std::make_shared<HttpServerContext>();
   uint64_t m_next_connection = 1;
+  TimePoint m_next_stall_search{};
   /// The listener closes once everything that has arrived is read.
   bool m_is_stopping = false;
   /// Expires with this object.
@@ -267,6 +286,10 @@
   m_impl->SetCapacity(capacity);
 }
 
+bool HttpServer::EndStalledBody() {
+  return m_impl->EndStalledBody();
+}
+
 size_t HttpServer::ClosedForOthers() const {
   return m_impl->ClosedForOthers();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -53,6 +53,10 @@
   /// that have made no progress for the longest time.
   void SetCapacity(const HttpCapacity& capacity);
 
+  /// Ends the body that has made no progress for the longest time, so that its
+  /// memory can be used for others. Returns false if all make progress.
+  bool EndStalledBody();
+
   /// Number of connections closed to keep it.
   size_t ClosedForOthers() const;
 
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -126,10 +126,14 @@
   if (!head.m_held) {
     head.m_held = std::make_shared<BodyReservation>(m_bodies.ForRequest());
   }
-  return m_bodies.GrowTo(
-      *head.m_held,
-      {.m_head_bytes = ParsedHeadBytes(head), .m_body_bytes = body_bytes},
-      m_open_requests.size());
+  const RequestSize size{.m_head_bytes = ParsedHeadBytes(head),
+                         .m_body_bytes = body_bytes};
+  while (!m_bodies.GrowTo(*head.m_held, size, m_open_requests.size())) {
+    if (!m_relieve_memory()) {
+      return false;
+    }
+  }
+  return true;
 }
 
 HttpResponse RequestProxy::RefuseBody(const HttpRequest& head,
--- a/src/proxy/request_proxy.h
+++ b/src/proxy/request_proxy.h
@@ -49,6 +49,13 @@
     m_on_crash_update = std::move(handler);
   }
 
+  /// Frees memory of requests that are arriving and make no progress; returns
+  /// false if there are none.
+  using MemoryRelief = std::function<bool()>;
+  void SetMemoryRelief(MemoryRelief relief) {
+    m_relieve_memory = std::move(relief);
+  }
+
   /// Sends a quota request to its keeper.
   using QuotaRequestSender = std::function<void(const AddressedQuotaRequest&)>;
   void SetQuotaRequestSender(QuotaRequestSender sender) {
@@ -125,7 +132,8 @@
   void Handle(const CrashesDropped& action);
   void Handle(const SendQuotaRequest& action);
 
-  /// Reserves the memory of a request, or returns false.
+  /// Reserves the memory of a request, or returns false. Ends stalled requests
+  /// if it does not fit beside them.
   bool ReserveBody(HttpRequest& head, size_t body_bytes);
   /// The refusal of a request whose body does not fit and has not been read.
   HttpResponse RefuseBody(const HttpRequest& head,
@@ -157,6 +165,7 @@
   Steering m_steering;
   CrashUpdateHandler m_on_crash_update = [](const CrashUpdate&) {};
   QuotaRequestSender m_send_quota_request = [](const AddressedQuotaRequest&) {};
+  MemoryRelief m_relieve_memory = [] { return false; };
   uint16_t m_peer_port = 0;
   uint64_t m_next_request = 1;
   SeenResponseFields m_response_fields;
--- a/tests/connection_choice_test.cc
+++ b/tests/connection_choice_test.cc
@@ -37,5 +37,19 @@
   cr_expect_not(ChooseOldestHead({At(3, 1)}).has_value());
 }
 
+// A body that stopped short kept its memory from others for a minute.
+Test(ConnectionChoice, BodiesStall_LongestPause_IsChosen) {
+  std::vector<ConnectionStanding> connections = {At(1, 1), At(2, 5), At(3, 9)};
+  const TimePoint now(seconds(10));
+  cr_expect_not(ChooseStalledBody(connections, now).has_value());
+  for (ConnectionStanding& connection : connections) {
+    connection.m_is_body_arriving = true;
+  }
+  cr_expect_eq(ChooseStalledBody(connections, now).value_or(0), 1);
+  cr_expect_eq(ChooseStalledBody({At(1, 1), connections[1]}, now).value_or(0),
+               2);
+  cr_expect_not(ChooseStalledBody({connections[2]}, now).has_value());
+}
+
 }  // namespace
 }  // namespace sorrelplank
--- a/tests/unruly_process_test.cc
+++ b/tests/unruly_process_test.cc
@@ -216,6 +216,16 @@
   g_fixture->ExpectServedAfterwards();
 }
 
+// Bodies that do not arrive held the memory, and nobody else could upload.
+Test(UnrulyClients, BodiesStopShort_OrdinaryUpload_IsServedBesideThem) {
+  g_fixture->Start();
+  UnrulyScript script = AnnouncedBody(kMaxBodyBytes, 1);
+  script.m_end.clear();
+  g_fixture->Join(Listener::kClients, script, 120);
+  g_fixture->ExpectServed("beside the crowd", std::string(kMaxBodyBytes, 'b'));
+  g_fixture->ExpectServedAfterwards();
+}
+
 // Connections that send nothing took all descriptors, and nobody else got one.
 Test(UnrulyClients, IdleConnections_OrdinaryRequest_IsServedBesideThem) {
   for (const auto listener :
