Enforce the operator's limits on head and idle time

A client that sends a byte of a head now and then kept its connection for ever, and a silent one for 300 s, whatever the operator's limits say.

Cause: HeaderTimeoutS and IdleTimeoutS were decoded and used by nothing. The server's constants stood in their place, and the one for heads began anew with each byte.

Evidence: by reading, and grep: nothing outside of decode.cc named the two values.

The clients' port applies both, and closes after two checks in a row, so that bytes that came while the process could not run are read first.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -21,8 +21,6 @@
 /// Maximum number of pipelined requests on a connection. More than one, so that
 /// the server keeps reading and notices when the client disconnects.
 constexpr size_t kMaxPipelinedRequests = 16;
-/// Limit on the time in which nothing of the next request arrives.
-constexpr Duration kMaxIdleTime = seconds(300);
 /// Limit on the time in which nothing of a request's head or body arrives.
 constexpr Duration kMaxRequestPause = seconds(30);
 /// Limit on the time in which a body arrives, the longest time that a client
@@ -119,9 +117,11 @@
     EndBody(now);
     return;
   }
-  const bool is_read_overdue =
-      m_pipeline.OpenCount() == 0 &&
-      pause > (is_mid_request ? kMaxRequestPause : kMaxIdleTime);
+  // What arrived while the process could not run is read before the next check.
+  const bool was_overdue = std::exchange(m_was_overdue, IsRequestOverdue(now));
+  const bool is_read_overdue = (was_overdue && m_was_overdue) ||
+                               (m_pipeline.OpenCount() == 0 && is_mid_request &&
+                                pause > kMaxRequestPause);
   const bool is_write_overdue =
       !m_outgoing.empty() && now - m_write_began > kMaxWriteTime;
   const bool is_linger_over =
@@ -133,6 +133,20 @@
   }
 }
 
+bool HttpConnection::IsRequestOverdue(TimePoint now) const {
+  if (m_pipeline.OpenCount() > 0 || !m_outgoing.empty()) {
+    return false;
+  }
+  switch (m_parser.CurrentState()) {
+    case HttpRequestParser::State::kIdle:
+      return now - m_progressed > m_context->m_timeouts.m_idle;
+    case HttpRequestParser::State::kHead:
+      return now - m_head_began > m_context->m_timeouts.m_head;
+    default:
+      return false;
+  }
+}
+
 ConnectionStanding HttpConnection::Standing() const {
   const bool is_head_arriving =
       m_parser.CurrentState() == HttpRequestParser::State::kHead;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -48,6 +48,8 @@
   /// Parses the bytes that were read, as far as requests may be accepted.
   void Consume();
   bool MayParse() const;
+  /// Whether the head, or the next request, takes longer than it may.
+  bool IsRequestOverdue(TimePoint now) const;
   /// Counts the memory of the head that is arriving.
   void CountHead();
   /// Notes that the body has grown.
@@ -95,6 +97,8 @@
   bool m_is_reading = false;
   bool m_is_consuming = false;
   bool m_is_lingering = false;
+  /// The head or the next request took too long when this was last checked.
+  bool m_was_overdue = false;
   bool m_is_closed = false;
   /// Beginning of the read or write under way, and of lingering.
   TimePoint m_read_began{};
--- a/src/net/http_limits_type.h
+++ b/src/net/http_limits_type.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "core/time_type.h"
+
 namespace sorrelplank {
 
 /// Limits on what one client can make the server hold in memory.
@@ -21,6 +23,14 @@
   size_t m_max_head_bytes = SIZE_MAX;
 };
 
+/// Limits on how long a client may take.
+struct HttpTimeouts {
+  /// For a head, from its first byte.
+  Duration m_head = seconds(30);
+  /// Between two requests.
+  Duration m_idle = seconds(300);
+};
+
 }  // namespace sorrelplank
 
 #endif  // SORRELPLANK_NET_HTTP_LIMITS_TYPE_H_
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -77,6 +77,10 @@
     m_context->m_capacity = capacity;
   }
 
+  void SetTimeouts(const HttpTimeouts& timeouts) {
+    m_context->m_timeouts = timeouts;
+  }
+
   void Stop() {
     m_is_stopping = true;
     AfterReading([this] {
@@ -286,6 +290,10 @@
   m_impl->SetCapacity(capacity);
 }
 
+void HttpServer::SetTimeouts(const HttpTimeouts& timeouts) {
+  m_impl->SetTimeouts(timeouts);
+}
+
 bool HttpServer::EndStalledBody() {
   return m_impl->EndStalledBody();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -53,6 +53,9 @@
   /// that have made no progress for the longest time.
   void SetCapacity(const HttpCapacity& capacity);
 
+  /// Connections that take longer are closed within two seconds.
+  void SetTimeouts(const HttpTimeouts& timeouts);
+
   /// Ends the body that has made no progress for the longest time, so that its
   /// memory can be used for others. Returns false if all make progress.
   bool EndStalledBody();
--- a/src/net/http_server_context.h
+++ b/src/net/http_server_context.h
@@ -21,6 +21,7 @@
 struct HttpServerContext {
   HttpLimits m_limits;
   HttpCapacity m_capacity;
+  HttpTimeouts m_timeouts;
   std::function<void(HttpRequest, HttpReply)> m_handler;
   /// May be empty.
   std::function<void(uint64_t connection)> m_on_closed;
