Close newcomers if all connections of a listener are being served

Beyond the bound of connections were still accepted while each of the others had a request at a server, so the bound did not hold for clients that send one request each and wait.

Cause: MakeRoom() closed the connection without progress for the longest time, and kept the new one also if there was none.

Evidence: HttpCapacity.AllRequestsAreServed_* on: ten of ten clients kept, four allowed. Ruled out: idle connections, of which the oldest gave way (HttpCapacity.ConnectionsAreIdle_*, passed before and after).

Such a newcomer is closed at once, before anything of it is read, so that its client sends its request to another VM. After: four of ten kept.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -160,9 +160,11 @@
       const uint64_t id = m_next_connection++;
       const auto connection =
           std::make_shared<HttpConnection>(std::move(socket), id, m_context);
-      MakeRoom();
-      m_context->m_connections.emplace(id, connection);
-      connection->Start();
+      // Without room the new connection is closed with its last reference.
+      if (MakeRoom()) {
+        m_context->m_connections.emplace(id, connection);
+        connection->Start();
+      }
       if (m_acceptor.is_open()) {
         Accept();
       }
@@ -178,15 +180,20 @@
     return standings;
   }
 
-  /// Closes a connection, so that a new one can be kept.
-  void MakeRoom() {
+  /// Closes a connection, if necessary, so that a new one can be kept. Returns
+  /// false if the requests of all are being served.
+  bool MakeRoom() {
     if (m_context->m_connections.size() <
         m_context->m_capacity.m_max_connections) {
-      return;
+      return true;
     }
-    if (const auto stalest = ChooseStalest(Standings())) {
-      CloseConnection(*stalest);
+    const auto stalest = ChooseStalest(Standings());
+    if (!stalest) {
+      ++m_context->m_closed_for_others;
+      return false;
     }
+    CloseConnection(*stalest);
+    return true;
   }
 
   void CloseOldestHeads() {
@@ -200,8 +207,8 @@
   }
 
   void CloseConnection(uint64_t id) {
-    // A copy, because the connection removes itself from the map.
     ++m_context->m_closed_for_others;
+    // A copy, because the connection removes itself from the map.
     const std::shared_ptr<HttpConnection> connection =
         m_context->m_connections.at(id);
     connection->Close();
