End stalled bodies only for requests that can fit

A body larger than the whole account of memory, which is refused at any time, ended the stalled bodies of others first. It is now refused at once.

The limit of descriptors is no longer taken as zero if the system does not tell it.

--- a/src/proxy/body_budget.cc
+++ b/src/proxy/body_budget.cc
@@ -69,8 +69,7 @@
 bool BodyBudget::GrowTo(BodyReservation& held,
                         const RequestSize& size,
                         size_t open_requests) {
-  const size_t bytes =
-      kOpenRequestBytes + size.m_head_bytes + size.m_body_bytes;
+  const size_t bytes = ChargeFor(size);
   const size_t more = bytes - std::min(bytes, held.Bytes());
   const auto expected = static_cast<size_t>(m_response_bytes *
                                             static_cast<double>(open_requests));
@@ -81,6 +80,14 @@
   return true;
 }
 
+bool BodyBudget::FitsAlone(const RequestSize& size) const {
+  return m_bound == 0 || ChargeFor(size) <= LimitFor(size.m_body_bytes);
+}
+
+size_t BodyBudget::ChargeFor(const RequestSize& size) {
+  return kOpenRequestBytes + size.m_head_bytes + size.m_body_bytes;
+}
+
 void BodyBudget::AddResponse(size_t body_bytes) {
   m_response_bytes +=
       (static_cast<double>(body_bytes) - m_response_bytes) * kResponseWeight;
--- a/src/proxy/body_budget.h
+++ b/src/proxy/body_budget.h
@@ -43,6 +43,9 @@
               const RequestSize& size,
               size_t open_requests);
 
+  /// Whether a request would fit if nothing else were held.
+  bool FitsAlone(const RequestSize& size) const;
+
   /// An empty reservation for a request whose body is arriving.
   BodyReservation ForRequest() const { return BodyReservation(m_held); }
 
@@ -62,6 +65,8 @@
   size_t ArrivingBound() const;
 
  private:
+  /// Bytes that a request counts for.
+  static size_t ChargeFor(const RequestSize& size);
   /// Bytes that may be held once a request with this body has been accepted.
   size_t LimitFor(size_t body_bytes) const;
 
--- a/src/proxy/listener_capacity.cc
+++ b/src/proxy/listener_capacity.cc
@@ -3,7 +3,9 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <iterator>
+#include <system_error>
 
 #include "proxy/listener_capacity_func.h"
 
@@ -63,7 +65,9 @@
 
 size_t DescriptorLimit(size_t configured) {
   rlimit system{};
-  getrlimit(RLIMIT_NOFILE, &system);
+  if (getrlimit(RLIMIT_NOFILE, &system) != 0) {
+    throw std::system_error(errno, std::generic_category(), "getrlimit");
+  }
   const auto limit = static_cast<size_t>(system.rlim_cur);
   return configured == 0 ? limit : std::min(limit, configured);
 }
--- a/src/proxy/listener_capacity_func.h
+++ b/src/proxy/listener_capacity_func.h
@@ -31,7 +31,8 @@
 HttpCapacity CapacityOf(Listener listener, const ProcessLimits& limits);
 
 /// Descriptors that this process may open: the system's limit, or the smaller
-/// one of the settings; zero there means that none is set.
+/// one of the settings; zero there means that none is set. Throws
+/// std::system_error if the system does not tell its limit.
 size_t DescriptorLimit(size_t configured);
 
 }  // namespace sorrelplank
--- a/src/proxy/request_proxy.cc
+++ b/src/proxy/request_proxy.cc
@@ -129,7 +129,7 @@
   const RequestSize size{.m_head_bytes = ParsedHeadBytes(head),
                          .m_body_bytes = body_bytes};
   while (!m_bodies.GrowTo(*head.m_held, size, m_open_requests.size())) {
-    if (!m_relieve_memory()) {
+    if (!m_bodies.FitsAlone(size) || !m_relieve_memory()) {
       return false;
     }
   }
--- a/tests/body_budget_test.cc
+++ b/tests/body_budget_test.cc
@@ -81,5 +81,14 @@
   cr_assert_not(budget.Reserve({200, 0}, 60).has_value());
 }
 
+// What can never fit must not end the bodies of others.
+Test(BodyBudget, RequestExceedsTheBound_FitsAlone_IsFalse) {
+  BodyBudget budget;
+  cr_expect(budget.FitsAlone({.m_body_bytes = 64U << 20U}));
+  budget.SetMemory(160'000'000);
+  cr_expect_not(budget.FitsAlone({.m_body_bytes = 64U << 20U}));
+  cr_expect(budget.FitsAlone({.m_body_bytes = 32U << 20U}));
+}
+
 }  // namespace
 }  // namespace sorrelplank
